--- /dev/null
+++ b/include/ragwortrelay/configuration/catalogue.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <ragwortrelay/configuration/table.h>
+#include <ragwortrelay/core/error.h>
+#include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/core/time.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace RagwortRelay::Configuration {
+
+/// A service: a set of equal backend servers.
+struct Service {
+    ServiceId m_id;
+    double m_floor = 0.5; ///< Share of the capacity that ejection must leave, 0 to 1.
+    double m_objective = 0.999; ///< Share of requests that must succeed, 0 to 1.
+    Duration m_latencyObjective{std::chrono::seconds(1)}; ///< Slower answers count against the objective.
+
+    friend bool operator==(const Service &, const Service &) = default;
+};
+
+/// How the operators' table tells to use a backend server.
+enum class ServerUse : std::uint8_t {
+    Active,
+    Leaving,
+};
+
+/// One backend server of a service.
+struct Server {
+    ServerId m_id;
+    ServiceId m_service;
+    std::string m_address; ///< `IP:PORT`
+    FailureDomainId m_domain;
+    double m_weight = 1.0;
+    std::uint32_t m_slots = 1; ///< Requests that it runs at once.
+    ServerUse m_use = ServerUse::Active;
+
+    friend bool operator==(const Server &, const Server &) = default;
+};
+
+/// Which requests go to which service.
+struct Route {
+    std::string m_name;
+    std::string m_method; ///< Empty for any method.
+    std::string m_pathPrefix;
+    ServiceId m_service;
+    bool m_idempotent = true;
+    bool m_open = false; ///< Runs without a workspace key.
+    Duration m_deadline{std::chrono::seconds(10)};
+
+    friend bool operator==(const Route &, const Route &) = default;
+};
+
+/// A tenant with its limits, counted over all hosts.
+struct Workspace {
+    WorkspaceId m_id;
+    std::uint32_t m_rate = 10; ///< Requests a second.
+    std::uint32_t m_burst = 20; ///< Requests at once.
+    double m_weight = 1.0; ///< Its turns under overload.
+
+    friend bool operator==(const Workspace &, const Workspace &) = default;
+};
+
+/// The stored form of a workspace key: a salted digest, never the key.
+struct Key {
+    KeyId m_id;
+    WorkspaceId m_workspace;
+    std::string m_salt;
+    std::string m_digest; ///< Lower-case hexadecimal SHA-256 of salt and secret.
+    bool m_withdrawn = false;
+
+    friend bool operator==(const Key &, const Key &) = default;
+};
+
+/// The table in typed form, ready for look-ups.
+struct Catalogue {
+    std::uint64_t m_version = 0;
+    std::map<ServiceId, Service> m_services;
+    std::map<ServerId, Server> m_servers;
+    std::map<ServiceId, std::vector<ServerId>> m_serversOf;
+    std::vector<Route> m_routes; ///< Longest path prefix first.
+    std::map<WorkspaceId, Workspace> m_workspaces;
+    std::map<KeyId, Key> m_keys;
+
+    friend bool operator==(const Catalogue &, const Catalogue &) = default;
+};
+
+/// Reads the cells of all rows.
+/// @param findings receives an entry for each bad cell; its row is left out
+Catalogue buildCatalogue(const Table &table, Findings &findings);
+
+/// Returns the route for a request, or nullptr. The path is without its query.
+const Route *findRoute(const Catalogue &catalogue, const std::string &method, const std::string &path);
+
+}
--- /dev/null
+++ b/include/ragwortrelay/configuration/table.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <ragwortrelay/configuration/row.h>
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace RagwortRelay::Configuration {
+
+/// All rows at one version.
+struct Table {
+    std::uint64_t m_version = 0;
+    std::map<RowKey, Row> m_rows;
+
+    friend bool operator==(const Table &, const Table &) = default;
+};
+
+/// One accepted edit: the rows that it wrote, and the version that it made.
+struct Change {
+    std::uint64_t m_version = 0;
+    std::string m_changeId;
+    std::string m_author;
+    std::vector<Row> m_rows;
+
+    friend bool operator==(const Change &, const Change &) = default;
+};
+
+/// Applies the next change of the chain.
+/// Precondition: none; a change that isn't the next one is left out. Returns whether it was applied. Not thread-safe on one table.
+bool applyChange(Table &table, const Change &change);
+
+}
--- /dev/null
+++ b/include/ragwortrelay/node/action.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <ragwortrelay/node/event.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace RagwortRelay::Node {
+
+/// Sends the request of an exchange to a backend server.
+struct StartAttempt {
+    ExchangeId m_exchange = 0;
+    AttemptId m_attempt = 0;
+    ServerId m_server;
+    std::string m_address;
+    bool m_idempotent = true;
+    Duration m_timeLeft{};
+
+    friend bool operator==(const StartAttempt &, const StartAttempt &) = default;
+};
+
+/// Ends an attempt whose answer nobody wants.
+struct CancelAttempt {
+    AttemptId m_attempt = 0;
+
+    friend bool operator==(const CancelAttempt &, const CancelAttempt &) = default;
+};
+
+/// Gives the answer of an attempt to the caller.
+struct ForwardAnswer {
+    ExchangeId m_exchange = 0;
+    AttemptId m_attempt = 0;
+
+    friend bool operator==(const ForwardAnswer &, const ForwardAnswer &) = default;
+};
+
+/// Answers the caller with a refusal of the proxy.
+struct AnswerProblem {
+    ExchangeId m_exchange = 0;
+    Dispatch::Problem m_problem;
+
+    friend bool operator==(const AnswerProblem &, const AnswerProblem &) = default;
+};
+
+/// Calls the platform.
+struct CallPlatform {
+    PlatformCallId m_call = 0;
+    Platform::Call m_request;
+
+    friend bool operator==(const CallPlatform &, const CallPlatform &) = default;
+};
+
+/// The table as this host has it.
+struct TableShown {
+    Configuration::Table m_table;
+
+    friend bool operator==(const TableShown &, const TableShown &) = default;
+};
+
+/// The edit is durable.
+struct EditDone {
+    std::uint64_t m_version = 0;
+
+    friend bool operator==(const EditDone &, const EditDone &) = default;
+};
+
+/// Rows that changed since the version that the edit was based on; nothing was written.
+struct EditConflict {
+    std::vector<Configuration::Row> m_storedRows;
+
+    friend bool operator==(const EditConflict &, const EditConflict &) = default;
+};
+
+/// The edit was refused; nothing was written.
+struct EditRefused {
+    Findings m_findings;
+
+    friend bool operator==(const EditRefused &, const EditRefused &) = default;
+};
+
+/// The platform gave no usable answer.
+struct EditUnresolved {
+    std::string m_reason;
+
+    friend bool operator==(const EditUnresolved &, const EditUnresolved &) = default;
+};
+
+/// What a host knows of itself.
+struct StatusShown {
+    std::string m_host;
+    std::uint64_t m_version = 0;
+    bool m_ready = false;
+    std::uint64_t m_requestsInFlight = 0;
+
+    friend bool operator==(const StatusShown &, const StatusShown &) = default;
+};
+
+using OperatorReply = std::variant<TableShown, EditDone, EditConflict, EditRefused, EditUnresolved, StatusShown>;
+
+/// Answers an operator's command.
+struct AnswerOperator {
+    OperatorCallId m_call = 0;
+    OperatorReply m_reply;
+
+    friend bool operator==(const AnswerOperator &, const AnswerOperator &) = default;
+};
+
+/// Tells the balancer whether to send requests to this host.
+struct SetReadiness {
+    bool m_ready = false;
+
+    friend bool operator==(const SetReadiness &, const SetReadiness &) = default;
+};
+
+/// Writes a log line about a change of state.
+struct LogChange {
+    std::string m_text;
+
+    friend bool operator==(const LogChange &, const LogChange &) = default;
+};
+
+/// All work is done; the process may exit.
+struct Exit {
+    friend bool operator==(const Exit &, const Exit &) = default;
+};
+
+using Action = std::variant<StartAttempt, CancelAttempt, ForwardAnswer, AnswerProblem, CallPlatform, AnswerOperator, SetReadiness, LogChange, Exit>;
+
+using Actions = std::vector<Action>;
+
+}
--- /dev/null
+++ b/include/ragwortrelay/node/event.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <ragwortrelay/configuration/table.h>
+#include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/core/time.h>
+#include <ragwortrelay/dispatch/outcome.h>
+#include <ragwortrelay/platform/table.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace RagwortRelay::Node {
+
+/// Number of a caller's request on this host; never used again by the process.
+using ExchangeId = std::uint64_t;
+
+/// Number of an attempt at a backend server on this host; never used again by the process.
+using AttemptId = std::uint64_t;
+
+/// Number of a call to the platform on this host.
+using PlatformCallId = std::uint64_t;
+
+/// Number of an operator's command on this host.
+using OperatorCallId = std::uint64_t;
+
+/// A caller's request is there, with its whole body.
+struct RequestArrived {
+    ExchangeId m_exchange = 0;
+    std::string m_method;
+    std::string m_path; ///< Without the query.
+    std::string m_target; ///< Path and query.
+    std::string m_authorization; ///< Value of the header, empty for none.
+    std::string m_idempotencyKey; ///< Value of the header, empty for none.
+    std::string m_bodyDigest; ///< Lower-case hexadecimal SHA-256 of the body.
+
+    friend bool operator==(const RequestArrived &, const RequestArrived &) = default;
+};
+
+/// The caller closed its connection before its answer was complete.
+struct CallerGone {
+    ExchangeId m_exchange = 0;
+
+    friend bool operator==(const CallerGone &, const CallerGone &) = default;
+};
+
+/// Load that a backend server reported with an answer.
+struct LoadReport {
+    std::uint32_t m_busySlots = 0;
+    bool m_draining = false;
+
+    friend bool operator==(const LoadReport &, const LoadReport &) = default;
+};
+
+/// A backend server answered; either the whole answer is there or its first part fills the buffer.
+struct AttemptAnswered {
+    AttemptId m_attempt = 0;
+    std::uint16_t m_status = 0;
+    bool m_whole = false;
+    bool m_notRun = false; ///< The server says that it shed the request unrun.
+    std::optional<LoadReport> m_load;
+
+    friend bool operator==(const AttemptAnswered &, const AttemptAnswered &) = default;
+};
+
+/// An attempt failed before it was answered.
+struct AttemptFailed {
+    AttemptId m_attempt = 0;
+    Dispatch::AttemptFailure m_failure{};
+    bool m_sent = true; ///< At least one byte of the request may have been sent.
+
+    friend bool operator==(const AttemptFailed &, const AttemptFailed &) = default;
+};
+
+/// The rest of a long answer has come to its end, or was cut short.
+struct AttemptEnded {
+    AttemptId m_attempt = 0;
+    bool m_whole = true;
+
+    friend bool operator==(const AttemptEnded &, const AttemptEnded &) = default;
+};
+
+/// The platform answered a call.
+struct PlatformAnswered {
+    PlatformCallId m_call = 0;
+    Platform::Result m_result;
+
+    friend bool operator==(const PlatformAnswered &, const PlatformAnswered &) = default;
+};
+
+/// Asks for the whole table.
+struct ShowTable {
+    friend bool operator==(const ShowTable &, const ShowTable &) = default;
+};
+
+/// Row as an operator wants it, with the version that the edit was based on (0 for a new row).
+struct RowEdit {
+    Configuration::RowKey m_key;
+    std::uint64_t m_baseVersion = 0;
+    Configuration::Cells m_cells;
+    bool m_erase = false;
+
+    friend bool operator==(const RowEdit &, const RowEdit &) = default;
+};
+
+/// Writes rows, all or none.
+struct EditTable {
+    std::string m_changeId;
+    std::string m_author;
+    std::vector<RowEdit> m_rows;
+
+    friend bool operator==(const EditTable &, const EditTable &) = default;
+};
+
+/// Asks what this host knows of itself and of the fleet.
+struct ShowStatus {
+    friend bool operator==(const ShowStatus &, const ShowStatus &) = default;
+};
+
+using OperatorCommand = std::variant<ShowTable, EditTable, ShowStatus>;
+
+/// An operator's command arrived.
+struct OperatorAsked {
+    OperatorCallId m_call = 0;
+    OperatorCommand m_command;
+
+    friend bool operator==(const OperatorAsked &, const OperatorAsked &) = default;
+};
+
+/// The process was told to stop.
+struct StopAsked {
+    friend bool operator==(const StopAsked &, const StopAsked &) = default;
+};
+
+/// Time went on.
+struct Ticked {
+    friend bool operator==(const Ticked &, const Ticked &) = default;
+};
+
+using Event = std::variant<RequestArrived, CallerGone, AttemptAnswered, AttemptFailed, AttemptEnded, PlatformAnswered, OperatorAsked, StopAsked, Ticked>;
+
+}
--- /dev/null
+++ b/include/ragwortrelay/node/node.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <ragwortrelay/balancing/balancer.h>
+#include <ragwortrelay/configuration/catalogue.h>
+#include <ragwortrelay/core/random.h>
+#include <ragwortrelay/limits/tokenbucket.h>
+#include <ragwortrelay/node/action.h>
+#include <ragwortrelay/node/event.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace RagwortRelay::Node {
+
+/// What a host is told by its settings.
+struct NodeSettings {
+    HostId m_host;
+    FailureDomainId m_domain;
+    Duration m_pollInterval{std::chrono::seconds(1)}; ///< Between two reads of the configuration.
+    Duration m_balancerLag{std::chrono::seconds(2)}; ///< After failing readiness, until the balancer sends nothing more.
+    Duration m_stopLimit{std::chrono::seconds(30)}; ///< Longest wait for requests in flight on stopping.
+    std::uint32_t m_attemptsAtMost = 3;
+
+    friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
+};
+
+/// A request that this host answers.
+struct Exchange {
+    RequestArrived m_request;
+    Configuration::Route m_route;
+    WorkspaceId m_workspace; ///< Empty on open routes.
+    TimePoint m_deadline;
+    AttemptId m_attempt = 0; ///< The one that may answer the caller.
+    std::uint32_t m_attempts = 0;
+    std::set<ServerId> m_tried;
+};
+
+/// An attempt that runs.
+struct Attempt {
+    ExchangeId m_exchange = 0;
+    ServerId m_server;
+    TimePoint m_startedAt;
+};
+
+/// What a call to the platform was for.
+enum class PlatformPurpose : std::uint8_t {
+    PollChanges,
+    AppendChange,
+};
+
+/// A call to the platform that runs.
+struct PendingCall {
+    PlatformPurpose m_purpose{};
+    OperatorCallId m_operatorCall = 0;
+    EditTable m_edit; ///< Of AppendChange.
+    Configuration::Change m_change; ///< Of AppendChange.
+};
+
+/// State of one host. The present time and all input reach it as arguments of handle().
+struct Node {
+    NodeSettings m_settings;
+    RandomGenerator m_random;
+    Configuration::Table m_table;
+    Configuration::Catalogue m_catalogue;
+    std::map<WorkspaceId, Limits::TokenBucket> m_buckets;
+    Balancing::Balancer m_balancer;
+    std::map<ExchangeId, Exchange> m_exchanges;
+    std::map<AttemptId, Attempt> m_attempts;
+    std::map<PlatformCallId, PendingCall> m_calls;
+    std::map<OperatorCallId, EditTable> m_waitingEdits; ///< To be tried again after the next poll.
+    AttemptId m_lastAttempt = 0;
+    PlatformCallId m_lastCall = 0;
+    std::optional<TimePoint> m_polledAt;
+    bool m_pollRuns = false;
+    bool m_ready = false;
+    std::optional<TimePoint> m_stopAskedAt;
+    bool m_exited = false;
+};
+
+/// Makes the state of a host that has just started.
+/// @param seed of the random numbers
+Node makeNode(const NodeSettings &settings, std::uint64_t seed);
+
+/// Takes in one event and returns what to do, in order.
+/// Precondition: `now` doesn't run backwards over the calls on one node. Not thread-safe on one node.
+Actions handle(Node &node, const Event &event, TimePoint now);
+
+}
--- /dev/null
+++ b/include/ragwortrelay/runtime/operatorcodec.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <ragwortrelay/core/error.h>
+#include <ragwortrelay/node/action.h>
+#include <ragwortrelay/node/event.h>
+
+#include <tl/expected.hpp>
+
+#include <string>
+
+namespace RagwortRelay::Runtime {
+
+/// HTTP form of an answer to an operator.
+struct OperatorAnswer {
+    std::uint16_t m_status = 200;
+    std::string m_body; ///< JSON
+
+    friend bool operator==(const OperatorAnswer &, const OperatorAnswer &) = default;
+};
+
+/// Reads the command of an operator's request. Thread-safe.
+tl::expected<Node::OperatorCommand, Error> decodeCommand(const std::string &method, const std::string &path, const std::string &body);
+
+/// Writes the body of a request that edits the table. Thread-safe.
+std::string encodeEdit(const Node::EditTable &edit);
+
+/// Writes the answer to a command. Thread-safe.
+OperatorAnswer encodeReply(const Node::OperatorReply &reply);
+
+}
--- /dev/null
+++ b/include/ragwortrelay/settings/settings.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <ragwortrelay/core/error.h>
+#include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/core/time.h>
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace RagwortRelay::Settings {
+
+/// Settings of one host.
+struct HostSettings {
+    HostId m_name;
+    FailureDomainId m_domain;
+
+    friend bool operator==(const HostSettings &, const HostSettings &) = default;
+};
+
+/// How callers reach this host.
+struct CallerSettings {
+    std::string m_listen; ///< `IP:PORT`; port 0 lets the kernel choose.
+    std::uint64_t m_bodyLimit = 1U << 20U; ///< Bytes.
+
+    friend bool operator==(const CallerSettings &, const CallerSettings &) = default;
+};
+
+/// How operators reach this host.
+struct OperatorSettings {
+    std::string m_listen; ///< `IP:PORT`; port 0 lets the kernel choose.
+    std::string m_token; ///< Must be presented with each command.
+
+    friend bool operator==(const OperatorSettings &, const OperatorSettings &) = default;
+};
+
+/// How this host reaches the platform.
+struct PlatformSettings {
+    std::string m_tableUrl;
+    std::string m_tableName = "ragwortrelay";
+    std::string m_objectsUrl; ///< Of the bucket.
+    std::string m_targetsUrl; ///< Of the list of hosts and backend servers.
+    Duration m_timeout{std::chrono::seconds(2)};
+    Duration m_pollInterval{std::chrono::seconds(1)};
+
+    friend bool operator==(const PlatformSettings &, const PlatformSettings &) = default;
+};
+
+/// How this host stops.
+struct StopSettings {
+    Duration m_balancerLag{std::chrono::seconds(2)};
+    Duration m_limit{std::chrono::seconds(30)};
+
+    friend bool operator==(const StopSettings &, const StopSettings &) = default;
+};
+
+/// What is logged.
+struct LogSettings {
+    std::string m_level = "info";
+
+    friend bool operator==(const LogSettings &, const LogSettings &) = default;
+};
+
+/// All settings of a process.
+struct Settings {
+    HostSettings m_host;
+    CallerSettings m_callers;
+    OperatorSettings m_operators;
+    PlatformSettings m_platform;
+    StopSettings m_stop;
+    LogSettings m_log;
+
+    friend bool operator==(const Settings &, const Settings &) = default;
+};
+
+/// Reads and checks settings in YAML.
+/// @param fileName name that stands in the findings
+/// @return the settings, or all findings in the order of their places
+/// Thread-safe.
+tl::expected<Settings, Findings> parseSettings(const std::string &text, const std::string &fileName);
+
+/// Reads the file and calls parseSettings(). Thread-safe.
+tl::expected<Settings, Findings> loadSettings(const std::string &fileName);
+
+}
--- /dev/null
+++ b/src/configuration/catalogue.cpp
@@ -0,0 +1,207 @@
+#include <ragwortrelay/configuration/catalogue.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace RagwortRelay::Configuration {
+
+namespace {
+
+/// Reads the cells of one row and collects what is wrong with them.
+class CellReader
+{
+public:
+    CellReader(const Row &row, Findings &findings) : m_row(row), m_findings(findings), m_findingsBefore(findings.size())
+    {
+    }
+
+    [[nodiscard]] std::string text(const std::string &column, const std::string &fallback = {}) const
+    {
+        const auto cell = m_row.m_cells.find(column);
+        return cell == m_row.m_cells.end() || cell->second.empty() ? fallback : cell->second;
+    }
+
+    [[nodiscard]] std::string required(const std::string &column)
+    {
+        std::string value = text(column);
+        if (value.empty()) {
+            report(column, "must not be empty");
+        }
+        return value;
+    }
+
+    [[nodiscard]] double number(const std::string &column, double fallback, double least, double most)
+    {
+        const std::string value = text(column);
+        if (value.empty()) {
+            return fallback;
+        }
+        double result = 0.0;
+        const auto [end, code] = std::from_chars(value.data(), value.data() + value.size(), result);
+        if (code != std::errc() || end != value.data() + value.size()) {
+            report(column, "'" + value + "' is not a number");
+            return fallback;
+        }
+        if (!(result >= least && result <= most)) {
+            report(column, "'" + value + "' is out of range");
+            return fallback;
+        }
+        return result;
+    }
+
+    [[nodiscard]] bool flag(const std::string &column, bool fallback)
+    {
+        const std::string value = text(column);
+        if (value.empty()) {
+            return fallback;
+        }
+        if (value != "yes" && value != "no") {
+            report(column, "'" + value + "' is neither yes nor no");
+        }
+        return value == "yes";
+    }
+
+    [[nodiscard]] Duration milliseconds(const std::string &column, Duration fallback)
+    {
+        constexpr double MostMilliseconds = 3'600'000.0;
+        const double fallbackMilliseconds = std::chrono::duration<double, std::milli>(fallback).count();
+        const double value = number(column, fallbackMilliseconds, 1.0, MostMilliseconds);
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
+    }
+
+    [[nodiscard]] bool isClean() const
+    {
+        return m_findings.size() == m_findingsBefore;
+    }
+
+    void report(const std::string &column, const std::string &message)
+    {
+        const std::string place = toString(m_row.m_key.m_kind) + '/' + m_row.m_key.m_name;
+        m_findings.push_back({{place, 0, 0}, ErrorId::TableBadCell, "column " + column + ": " + message});
+    }
+
+private:
+    const Row &m_row;
+    Findings &m_findings;
+    std::size_t m_findingsBefore;
+};
+
+void addService(Catalogue &catalogue, const Row &row, CellReader &cells)
+{
+    Service service;
+    service.m_id = ServiceId(row.m_key.m_name);
+    service.m_floor = cells.number("floor", service.m_floor, 0.0, 1.0);
+    service.m_objective = cells.number("objective", service.m_objective, 0.0, 0.999999);
+    service.m_latencyObjective = cells.milliseconds("latency_ms", service.m_latencyObjective);
+    if (cells.isClean()) {
+        catalogue.m_services[service.m_id] = service;
+    }
+}
+
+void addServer(Catalogue &catalogue, const Row &row, CellReader &cells)
+{
+    constexpr double MostSlots = 10'000.0;
+    constexpr double MostWeight = 1'000.0;
+    Server server;
+    server.m_id = ServerId(row.m_key.m_name);
+    server.m_service = ServiceId(cells.required("service"));
+    server.m_address = cells.required("address");
+    server.m_domain = FailureDomainId(cells.required("domain"));
+    server.m_weight = cells.number("weight", 1.0, 0.0, MostWeight);
+    server.m_slots = static_cast<std::uint32_t>(cells.number("slots", 1.0, 1.0, MostSlots));
+    server.m_use = cells.flag("leaving", false) ? ServerUse::Leaving : ServerUse::Active;
+    if (cells.isClean()) {
+        catalogue.m_servers[server.m_id] = server;
+    }
+}
+
+void addRoute(Catalogue &catalogue, const Row &row, CellReader &cells)
+{
+    Route route;
+    route.m_name = row.m_key.m_name;
+    route.m_method = cells.text("method");
+    route.m_pathPrefix = cells.required("path");
+    route.m_service = ServiceId(cells.required("service"));
+    route.m_idempotent = cells.flag("idempotent", true);
+    route.m_open = cells.flag("open", false);
+    route.m_deadline = cells.milliseconds("deadline_ms", route.m_deadline);
+    if (cells.isClean()) {
+        catalogue.m_routes.push_back(route);
+    }
+}
+
+void addWorkspace(Catalogue &catalogue, const Row &row, CellReader &cells)
+{
+    constexpr double MostRate = 1'000'000.0;
+    Workspace workspace;
+    workspace.m_id = WorkspaceId(row.m_key.m_name);
+    workspace.m_rate = static_cast<std::uint32_t>(cells.number("rate", workspace.m_rate, 0.0, MostRate));
+    workspace.m_burst = static_cast<std::uint32_t>(cells.number("burst", workspace.m_burst, 0.0, MostRate));
+    workspace.m_weight = cells.number("weight", 1.0, 0.001, 1'000.0);
+    if (cells.isClean()) {
+        catalogue.m_workspaces[workspace.m_id] = workspace;
+    }
+}
+
+void addKey(Catalogue &catalogue, const Row &row, CellReader &cells)
+{
+    Key key;
+    key.m_id = KeyId(row.m_key.m_name);
+    key.m_workspace = WorkspaceId(cells.required("workspace"));
+    key.m_salt = cells.required("salt");
+    key.m_digest = cells.required("digest");
+    key.m_withdrawn = cells.flag("withdrawn", false);
+    if (cells.isClean()) {
+        catalogue.m_keys[key.m_id] = key;
+    }
+}
+
+void addRow(Catalogue &catalogue, const Row &row, Findings &findings)
+{
+    CellReader cells(row, findings);
+    switch (row.m_key.m_kind) {
+    case RowKind::Service:
+        return addService(catalogue, row, cells);
+    case RowKind::Server:
+        return addServer(catalogue, row, cells);
+    case RowKind::Route:
+        return addRoute(catalogue, row, cells);
+    case RowKind::Workspace:
+        return addWorkspace(catalogue, row, cells);
+    case RowKind::Key:
+        return addKey(catalogue, row, cells);
+    }
+}
+
+}
+
+Catalogue buildCatalogue(const Table &table, Findings &findings)
+{
+    Catalogue catalogue;
+    catalogue.m_version = table.m_version;
+    for (const auto &[key, row] : table.m_rows) {
+        if (!row.m_erased) {
+            addRow(catalogue, row, findings);
+        }
+    }
+    for (const auto &[id, server] : catalogue.m_servers) {
+        catalogue.m_serversOf[server.m_service].push_back(id);
+    }
+    std::stable_sort(catalogue.m_routes.begin(), catalogue.m_routes.end(), [](const Route &left, const Route &right) {
+        return left.m_pathPrefix.size() > right.m_pathPrefix.size();
+    });
+    return catalogue;
+}
+
+const Route *findRoute(const Catalogue &catalogue, const std::string &method, const std::string &path)
+{
+    for (const Route &route : catalogue.m_routes) {
+        const bool methodMatches = route.m_method.empty() || route.m_method == method;
+        if (methodMatches && path.starts_with(route.m_pathPrefix)) {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
+}
--- /dev/null
+++ b/src/configuration/table.cpp
@@ -0,0 +1,52 @@
+#include <ragwortrelay/configuration/table.h>
+
+#include <array>
+#include <utility>
+
+namespace RagwortRelay::Configuration {
+
+namespace {
+
+constexpr std::array<std::pair<RowKind, const char *>, 5> KindNames{{
+    {RowKind::Service, "service"},
+    {RowKind::Server, "server"},
+    {RowKind::Route, "route"},
+    {RowKind::Workspace, "workspace"},
+    {RowKind::Key, "key"},
+}};
+
+}
+
+std::string toString(RowKind kind)
+{
+    for (const auto &[candidate, name] : KindNames) {
+        if (candidate == kind) {
+            return name;
+        }
+    }
+    return "unknown";
+}
+
+std::pair<RowKind, bool> rowKindFrom(const std::string &text)
+{
+    for (const auto &[kind, name] : KindNames) {
+        if (text == name) {
+            return {kind, true};
+        }
+    }
+    return {RowKind::Service, false};
+}
+
+bool applyChange(Table &table, const Change &change)
+{
+    if (change.m_version != table.m_version + 1) {
+        return false;
+    }
+    for (const Row &row : change.m_rows) {
+        table.m_rows[row.m_key] = row;
+    }
+    table.m_version = change.m_version;
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/node/handle.cpp
@@ -0,0 +1,114 @@
+#include <ragwortrelay/detail/node/duties.h>
+
+#include <type_traits>
+
+namespace RagwortRelay::Node {
+
+namespace detail {
+
+void callPlatform(Node &node, const Platform::Call &request, PendingCall pending, Actions &actions)
+{
+    const PlatformCallId id = ++node.m_lastCall;
+    node.m_calls.emplace(id, std::move(pending));
+    actions.push_back(CallPlatform{id, request});
+}
+
+namespace {
+
+void onPlatformAnswered(Node &node, const PlatformAnswered &answer, TimePoint now, Actions &actions)
+{
+    const auto found = node.m_calls.find(answer.m_call);
+    if (found == node.m_calls.end()) {
+        return;
+    }
+    const PendingCall call = std::move(found->second);
+    node.m_calls.erase(found);
+    switch (call.m_purpose) {
+    case PlatformPurpose::PollChanges:
+        return onChangesRead(node, answer.m_result, now, actions);
+    case PlatformPurpose::AppendChange:
+        return onChangeAppended(node, call, answer.m_result, now, actions);
+    }
+}
+
+void setReadiness(Node &node, bool ready, Actions &actions)
+{
+    if (node.m_ready == ready) {
+        return;
+    }
+    node.m_ready = ready;
+    actions.push_back(SetReadiness{ready});
+    actions.push_back(LogChange{ready ? "host is ready" : "host is not ready"});
+}
+
+void onStopAsked(Node &node, TimePoint now, Actions &actions)
+{
+    if (!node.m_stopAskedAt) {
+        node.m_stopAskedAt = now;
+        actions.push_back(LogChange{"graceful shutdown started"});
+    }
+}
+
+void stopWhenIdle(Node &node, TimePoint now, Actions &actions)
+{
+    if (!node.m_stopAskedAt || node.m_exited) {
+        return;
+    }
+    const Duration stoppingFor = now - *node.m_stopAskedAt;
+    const bool isIdle = stoppingFor >= node.m_settings.m_balancerLag && node.m_exchanges.empty();
+    if (isIdle || stoppingFor >= node.m_settings.m_stopLimit) {
+        node.m_exited = true;
+        actions.push_back(Exit{});
+    }
+}
+
+void onTicked(Node &node, TimePoint now, Actions &actions)
+{
+    pollConfiguration(node, now, actions);
+    setReadiness(node, node.m_polledAt.has_value() && node.m_table.m_version > 0 && !node.m_stopAskedAt, actions);
+    stopWhenIdle(node, now, actions);
+}
+
+}
+
+}
+
+Node makeNode(const NodeSettings &settings, std::uint64_t seed)
+{
+    Node node;
+    node.m_settings = settings;
+    node.m_random.seed(seed);
+    return node;
+}
+
+Actions handle(Node &node, const Event &event, TimePoint now)
+{
+    Actions actions;
+    std::visit(
+        [&](const auto &typed) {
+            using Type = std::decay_t<decltype(typed)>;
+            if constexpr (std::is_same_v<Type, RequestArrived>) {
+                detail::onRequestArrived(node, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, CallerGone>) {
+                detail::onCallerGone(node, typed, actions);
+            } else if constexpr (std::is_same_v<Type, AttemptAnswered>) {
+                detail::onAttemptAnswered(node, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, AttemptFailed>) {
+                detail::onAttemptFailed(node, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, AttemptEnded>) {
+                detail::onAttemptEnded(node, typed);
+            } else if constexpr (std::is_same_v<Type, PlatformAnswered>) {
+                detail::onPlatformAnswered(node, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, OperatorAsked>) {
+                detail::onOperatorAsked(node, typed, actions);
+            } else if constexpr (std::is_same_v<Type, StopAsked>) {
+                detail::onStopAsked(node, now, actions);
+            } else {
+                detail::onTicked(node, now, actions);
+            }
+        },
+        event);
+    return actions;
+}
+
+}
--- /dev/null
+++ b/src/node/operators.cpp
@@ -0,0 +1,22 @@
+#include <ragwortrelay/detail/node/duties.h>
+
+namespace RagwortRelay::Node::detail {
+
+void onOperatorAsked(Node &node, const OperatorAsked &asked, Actions &actions)
+{
+    if (const auto *edit = std::get_if<EditTable>(&asked.m_command)) {
+        return startEdit(node, asked.m_call, *edit, actions);
+    }
+    if (std::holds_alternative<ShowTable>(asked.m_command)) {
+        actions.push_back(AnswerOperator{asked.m_call, TableShown{node.m_table}});
+        return;
+    }
+    StatusShown status;
+    status.m_host = node.m_settings.m_host.text();
+    status.m_version = node.m_table.m_version;
+    status.m_ready = node.m_ready;
+    status.m_requestsInFlight = node.m_exchanges.size();
+    actions.push_back(AnswerOperator{asked.m_call, status});
+}
+
+}
--- /dev/null
+++ b/src/runtime/decisionduty.cpp
@@ -0,0 +1,187 @@
+#include <ragwortrelay/runtime/decisionduty.h>
+#include <ragwortrelay/runtime/logging.h>
+
+#include <poll.h>
+#include <pthread.h>
+#include <type_traits>
+
+namespace RagwortRelay::Runtime {
+
+TimePoint currentTime()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(sinceStart));
+}
+
+DecisionDuty::DecisionDuty(const Node::NodeSettings &settings, std::uint64_t seed)
+    : m_inputs(InputCapacity, [this] { m_wakeup.notify(); }), m_node(Node::makeNode(settings, seed))
+{
+}
+
+DecisionDuty::~DecisionDuty()
+{
+    stop();
+}
+
+DecisionRing &DecisionDuty::inputs()
+{
+    return m_inputs;
+}
+
+void DecisionDuty::connect(CallerFront &callers, BackendClient &backends, PlatformClient &platform, OperatorFront &operators)
+{
+    m_callers = &callers;
+    m_backends = &backends;
+    m_platform = &platform;
+    m_operators = &operators;
+}
+
+void DecisionDuty::start(std::function<void()> onExit)
+{
+    m_onExit = std::move(onExit);
+    m_thread = std::thread([this] { run(); });
+    pthread_setname_np(m_thread.native_handle(), "decision");
+}
+
+void DecisionDuty::stop()
+{
+    m_stopping.store(true);
+    m_wakeup.notify();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void DecisionDuty::run()
+{
+    constexpr Duration TickInterval = std::chrono::milliseconds(20);
+    TimePoint nextTick = currentTime();
+    while (!m_stopping.load()) {
+        const TimePoint now = currentTime();
+        if (now >= nextTick) {
+            handle(Node::Ticked{});
+            nextTick = now + TickInterval;
+        }
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(nextTick - now);
+        pollfd descriptor{m_wakeup.descriptor(), POLLIN, 0};
+        poll(&descriptor, 1, static_cast<int>(wait.count()));
+        m_wakeup.clear();
+        m_inputs.drain([this](DecisionInput &&input) {
+            if (const auto *request = std::get_if<Node::RequestArrived>(&input.m_event)) {
+                m_requests.emplace(request->m_exchange, std::move(input.m_request));
+            }
+            handle(input.m_event);
+        });
+        flush();
+    }
+}
+
+void DecisionDuty::handle(const Node::Event &event)
+{
+    for (const Node::Action &action : Node::handle(m_node, event, currentTime())) {
+        perform(action);
+    }
+    // The request is of use only while the node still may start an attempt with it.
+    const auto *gone = std::get_if<Node::CallerGone>(&event);
+    if (gone != nullptr) {
+        m_requests.erase(gone->m_exchange);
+    }
+    while (!m_localEvents.empty()) {
+        const Node::Event local = std::move(m_localEvents.front());
+        m_localEvents.pop_front();
+        handle(local);
+    }
+    if (const auto *ended = std::get_if<Node::AttemptEnded>(&event)) {
+        const std::lock_guard lock(m_forwardedMutex);
+        m_forwarded.erase(ended->m_attempt);
+    }
+}
+
+void DecisionDuty::perform(const Node::Action &action)
+{
+    std::visit(
+        [this](const auto &typed) {
+            using Type = std::decay_t<decltype(typed)>;
+            if constexpr (std::is_same_v<Type, Node::StartAttempt>) {
+                startAttempt(typed);
+            } else if constexpr (std::is_same_v<Type, Node::CancelAttempt>) {
+                m_streams.erase(typed.m_attempt);
+                m_backends->orders().push(CancelRequest{typed.m_attempt});
+            } else if constexpr (std::is_same_v<Type, Node::ForwardAnswer>) {
+                forwardAnswer(typed);
+            } else if constexpr (std::is_same_v<Type, Node::AnswerProblem>) {
+                answerProblem(typed);
+            } else if constexpr (std::is_same_v<Type, Node::CallPlatform>) {
+                m_waitingCalls.push_back(typed);
+            } else if constexpr (std::is_same_v<Type, Node::AnswerOperator>) {
+                m_operators->orders().push(typed);
+            } else if constexpr (std::is_same_v<Type, Node::SetReadiness>) {
+                m_operators->setReady(typed.m_ready);
+            } else if constexpr (std::is_same_v<Type, Node::LogChange>) {
+                logChange(typed.m_text);
+            } else {
+                m_onExit();
+            }
+        },
+        action);
+}
+
+void DecisionDuty::startAttempt(const Node::StartAttempt &start)
+{
+    const auto request = m_requests.find(start.m_exchange);
+    if (request == m_requests.end()) {
+        return;
+    }
+    auto stream = std::make_shared<AnswerStream>();
+    m_streams.emplace(start.m_attempt, stream);
+    if (!m_backends->orders().push(SendRequest{start.m_attempt, start.m_address, start.m_idempotent, start.m_timeLeft, request->second, stream})) {
+        m_localEvents.emplace_back(Node::AttemptFailed{start.m_attempt, Dispatch::AttemptFailure::ConnectFailed, false});
+    }
+}
+
+void DecisionDuty::forwardAnswer(const Node::ForwardAnswer &forward)
+{
+    const auto stream = m_streams.find(forward.m_attempt);
+    if (stream == m_streams.end()) {
+        return;
+    }
+    if (stream->second->m_bodyState.load() == BodyState::Open) {
+        const std::lock_guard lock(m_forwardedMutex);
+        m_forwarded.emplace(forward.m_attempt, forward.m_exchange);
+    }
+    m_waitingFrontOrders.emplace_back(SendAnswer{forward.m_exchange, forward.m_attempt, stream->second});
+    m_streams.erase(stream);
+    m_requests.erase(forward.m_exchange);
+}
+
+void DecisionDuty::answerProblem(const Node::AnswerProblem &answer)
+{
+    m_waitingFrontOrders.emplace_back(SendProblem{answer.m_exchange, answer.m_problem});
+    m_requests.erase(answer.m_exchange);
+}
+
+void DecisionDuty::flush()
+{
+    while (!m_waitingFrontOrders.empty() && m_callers->orders().push(m_waitingFrontOrders.front())) {
+        m_waitingFrontOrders.pop_front();
+    }
+    while (!m_waitingCalls.empty() && m_platform->orders().push(m_waitingCalls.front())) {
+        m_waitingCalls.pop_front();
+    }
+}
+
+void DecisionDuty::onSpace(Node::AttemptId attempt)
+{
+    m_backends->orders().push(SpaceReady{attempt});
+}
+
+void DecisionDuty::onBytes(Node::AttemptId attempt)
+{
+    const std::lock_guard lock(m_forwardedMutex);
+    const auto exchange = m_forwarded.find(attempt);
+    if (exchange != m_forwarded.end()) {
+        m_callers->orders().push(BytesReady{exchange->second});
+    }
+}
+
+}
--- /dev/null
+++ b/src/runtime/host.cpp
@@ -0,0 +1,121 @@
+#include <ragwortrelay/runtime/decisionduty.h>
+#include <ragwortrelay/runtime/host.h>
+
+#include <curl/curl.h>
+
+#include <future>
+#include <random>
+
+namespace RagwortRelay::Runtime {
+
+namespace {
+
+Node::NodeSettings nodeSettingsFrom(const Settings::Settings &settings)
+{
+    Node::NodeSettings node;
+    node.m_host = settings.m_host.m_name;
+    node.m_domain = settings.m_host.m_domain;
+    node.m_pollInterval = settings.m_platform.m_pollInterval;
+    node.m_balancerLag = settings.m_stop.m_balancerLag;
+    node.m_stopLimit = settings.m_stop.m_limit;
+    return node;
+}
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+}
+
+class Host::Implementation
+{
+public:
+    explicit Implementation(const Settings::Settings &settings)
+        : m_decisions(nodeSettingsFrom(settings), randomSeed())
+        , m_callers(settings.m_callers, m_decisions.inputs(), [this](Node::AttemptId attempt) { m_decisions.onSpace(attempt); })
+        , m_backends(m_decisions.inputs(), [this](Node::AttemptId attempt) { m_decisions.onBytes(attempt); })
+        , m_platform(settings.m_platform, m_decisions.inputs())
+        , m_operators(settings.m_operators, m_decisions.inputs())
+    {
+        m_decisions.connect(m_callers, m_backends, m_platform, m_operators);
+    }
+
+    void start()
+    {
+        m_callers.start();
+        m_operators.start();
+        m_backends.start();
+        m_platform.start();
+        m_decisions.start([this] { m_stopped.set_value(); });
+    }
+
+    void askToStop()
+    {
+        pushWaiting(m_decisions.inputs(), Node::StopAsked{});
+    }
+
+    void waitUntilStopped()
+    {
+        m_stopped.get_future().wait();
+        m_callers.stop();
+        m_operators.stop();
+        m_backends.stop();
+        m_platform.stop();
+        m_decisions.stop();
+    }
+
+    [[nodiscard]] std::string callerAddress() const
+    {
+        return m_callers.address();
+    }
+
+    [[nodiscard]] std::string operatorAddress() const
+    {
+        return m_operators.address();
+    }
+
+private:
+    DecisionDuty m_decisions;
+    CallerFront m_callers;
+    BackendClient m_backends;
+    PlatformClient m_platform;
+    OperatorFront m_operators;
+    std::promise<void> m_stopped;
+};
+
+Host::Host(const Settings::Settings &settings)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    m_implementation = std::make_unique<Implementation>(settings);
+}
+
+Host::~Host() = default;
+
+void Host::start()
+{
+    m_implementation->start();
+}
+
+void Host::askToStop()
+{
+    m_implementation->askToStop();
+}
+
+void Host::waitUntilStopped()
+{
+    m_implementation->waitUntilStopped();
+}
+
+std::string Host::callerAddress() const
+{
+    return m_implementation->callerAddress();
+}
+
+std::string Host::operatorAddress() const
+{
+    return m_implementation->operatorAddress();
+}
+
+}
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,116 @@
+#include <ragwortrelay/detail/settings/yamlreader.h>
+#include <ragwortrelay/settings/settings.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace RagwortRelay::Settings {
+
+namespace {
+
+using detail::Presence;
+using detail::YamlReader;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+HostSettings readHost(YamlReader reader)
+{
+    HostSettings settings;
+    settings.m_name = HostId(reader.text("name", Presence::Required));
+    settings.m_domain = FailureDomainId(reader.text("failure-domain", Presence::Required));
+    reader.reportUnknownKeys();
+    return settings;
+}
+
+CallerSettings readCallers(YamlReader reader)
+{
+    constexpr std::uint64_t LeastBody = 1024;
+    constexpr std::uint64_t MostBody = 64ULL << 20U;
+    CallerSettings settings;
+    settings.m_listen = reader.address("listen", Presence::Required);
+    settings.m_bodyLimit = reader.size("body-limit", settings.m_bodyLimit, LeastBody, MostBody);
+    reader.reportUnknownKeys();
+    return settings;
+}
+
+OperatorSettings readOperators(YamlReader reader)
+{
+    OperatorSettings settings;
+    settings.m_listen = reader.address("listen", Presence::Required);
+    settings.m_token = reader.text("token", Presence::Required);
+    reader.reportUnknownKeys();
+    return settings;
+}
+
+PlatformSettings readPlatform(YamlReader reader)
+{
+    PlatformSettings settings;
+    settings.m_tableUrl = reader.url("table-url", Presence::Required);
+    settings.m_tableName = reader.text("table-name", Presence::Optional, settings.m_tableName);
+    settings.m_objectsUrl = reader.url("objects-url", Presence::Required);
+    settings.m_targetsUrl = reader.url("targets-url", Presence::Required);
+    settings.m_timeout = reader.duration("timeout", settings.m_timeout, milliseconds(10), minutes(1));
+    settings.m_pollInterval = reader.duration("poll-interval", settings.m_pollInterval, milliseconds(50), minutes(1));
+    reader.reportUnknownKeys();
+    return settings;
+}
+
+StopSettings readStop(YamlReader reader)
+{
+    StopSettings settings;
+    settings.m_balancerLag = reader.duration("balancer-lag", settings.m_balancerLag, milliseconds(0), minutes(10));
+    settings.m_limit = reader.duration("limit", settings.m_limit, seconds(1), hours(1));
+    reader.reportUnknownKeys();
+    return settings;
+}
+
+LogSettings readLog(YamlReader reader)
+{
+    LogSettings settings;
+    settings.m_level = reader.choice("level", {"error", "warning", "info", "debug"}, settings.m_level);
+    reader.reportUnknownKeys();
+    return settings;
+}
+
+}
+
+tl::expected<Settings, Findings> parseSettings(const std::string &text, const std::string &fileName)
+{
+    Findings findings;
+    Settings settings;
+    try {
+        YamlReader root(YAML::Load(text), fileName, "", findings);
+        settings.m_host = readHost(root.section("host", Presence::Required));
+        settings.m_callers = readCallers(root.section("callers", Presence::Required));
+        settings.m_operators = readOperators(root.section("operators", Presence::Required));
+        settings.m_platform = readPlatform(root.section("platform", Presence::Required));
+        settings.m_stop = readStop(root.section("stop", Presence::Optional));
+        settings.m_log = readLog(root.section("log", Presence::Optional));
+        root.reportUnknownKeys();
+    } catch (const YAML::Exception &exception) {
+        const auto line = static_cast<std::uint32_t>(exception.mark.line + 1);
+        const auto column = static_cast<std::uint32_t>(exception.mark.column + 1);
+        findings.push_back({{fileName, line, column}, ErrorId::SettingsUnreadable, exception.msg});
+    }
+    if (findings.empty()) {
+        return settings;
+    }
+    std::stable_sort(findings.begin(), findings.end(), [](const Finding &left, const Finding &right) { return left.m_place < right.m_place; });
+    return tl::unexpected(findings);
+}
+
+tl::expected<Settings, Findings> loadSettings(const std::string &fileName)
+{
+    std::ifstream file(fileName);
+    if (!file) {
+        return tl::unexpected(Findings{{{fileName, 0, 0}, ErrorId::SettingsUnreadable, "the file can't be read"}});
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str(), fileName);
+}
+
+}
--- /dev/null
+++ b/src/settings/yamlreader.cpp
@@ -0,0 +1,243 @@
+#include <ragwortrelay/detail/settings/yamlreader.h>
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <charconv>
+#include <map>
+#include <numeric>
+
+namespace RagwortRelay::Settings::detail {
+
+namespace {
+
+/// Returns the number of single-character edits between two texts.
+/// Source: Wagner and Fischer, "The String-to-String Correction Problem" (1974).
+std::size_t editDistance(const std::string &left, const std::string &right)
+{
+    std::vector<std::size_t> row(right.size() + 1);
+    std::iota(row.begin(), row.end(), 0);
+    for (std::size_t i = 1; i <= left.size(); ++i) {
+        std::size_t diagonal = row[0];
+        row[0] = i;
+        for (std::size_t j = 1; j <= right.size(); ++j) {
+            const std::size_t substitution = diagonal + (left[i - 1] == right[j - 1] ? 0 : 1);
+            diagonal = row[j];
+            row[j] = std::min({row[j] + 1, row[j - 1] + 1, substitution});
+        }
+    }
+    return row.back();
+}
+
+std::string nearestKey(const std::string &key, const std::set<std::string> &known)
+{
+    constexpr std::size_t FarthestSuggestion = 3;
+    std::string nearest;
+    std::size_t distance = FarthestSuggestion + 1;
+    for (const std::string &candidate : known) {
+        const std::size_t candidateDistance = editDistance(key, candidate);
+        if (candidateDistance < distance) {
+            distance = candidateDistance;
+            nearest = candidate;
+        }
+    }
+    return nearest;
+}
+
+bool isPort(const std::string &text)
+{
+    unsigned port = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), port);
+    return code == std::errc() && end == text.data() + text.size() && port <= 65535;
+}
+
+bool isAddress(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos || !isPort(text.substr(colon + 1))) {
+        return false;
+    }
+    std::string ip = text.substr(0, colon);
+    if (ip.starts_with('[') && ip.ends_with(']')) {
+        ip = ip.substr(1, ip.size() - 2);
+    }
+    std::array<unsigned char, sizeof(in6_addr)> buffer{};
+    return inet_pton(AF_INET, ip.c_str(), buffer.data()) == 1 || inet_pton(AF_INET6, ip.c_str(), buffer.data()) == 1;
+}
+
+}
+
+YamlReader::YamlReader(const YAML::Node &node, std::string fileName, std::string path, Findings &findings)
+    : m_node(node), m_fileName(std::move(fileName)), m_path(std::move(path)), m_findings(findings)
+{
+}
+
+void YamlReader::report(const YAML::Mark &mark, ErrorId id, const std::string &message)
+{
+    const bool hasPlace = mark.line >= 0 && mark.column >= 0;
+    const std::uint32_t line = hasPlace ? static_cast<std::uint32_t>(mark.line) + 1 : 1;
+    const std::uint32_t column = hasPlace ? static_cast<std::uint32_t>(mark.column) + 1 : 1;
+    m_findings.push_back({{m_fileName, line, column}, id, message});
+}
+
+YamlReader YamlReader::section(const std::string &key, Presence presence)
+{
+    m_known.insert(key);
+    const std::string path = m_path.empty() ? key : m_path + '.' + key;
+    const YAML::Node value = m_node.IsMap() ? m_node[key] : YAML::Node(YAML::NodeType::Undefined);
+    if (value.IsDefined() && value.IsMap()) {
+        return {value, m_fileName, path, m_findings};
+    }
+    if (value.IsDefined() && !value.IsNull()) {
+        report(value.Mark(), ErrorId::SettingsWrongType, "'" + path + "' must be a mapping");
+    } else if (presence == Presence::Required) {
+        report(m_node.Mark(), ErrorId::SettingsMissingKey, "section '" + path + "' is missing");
+    }
+    return {YAML::Node(YAML::NodeType::Null), m_fileName, path, m_findings};
+}
+
+std::optional<YAML::Node> YamlReader::scalar(const std::string &key, Presence presence)
+{
+    m_known.insert(key);
+    const YAML::Node value = m_node.IsMap() ? m_node[key] : YAML::Node(YAML::NodeType::Undefined);
+    const bool isThere = value.IsDefined() && !value.IsNull();
+    if (isThere && !value.IsScalar()) {
+        report(value.Mark(), ErrorId::SettingsWrongType, "'" + m_path + '.' + key + "' must be a single value");
+        return std::nullopt;
+    }
+    if (!isThere) {
+        // A missing section was reported once; its keys are not reported again.
+        if (presence == Presence::Required && m_node.IsMap()) {
+            report(m_node.Mark(), ErrorId::SettingsMissingKey, "'" + m_path + '.' + key + "' is missing");
+        }
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string YamlReader::text(const std::string &key, Presence presence, const std::string &fallback)
+{
+    const auto value = scalar(key, presence);
+    return value ? value->Scalar() : fallback;
+}
+
+std::string YamlReader::choice(const std::string &key, const std::vector<std::string> &allowed, const std::string &fallback)
+{
+    const auto value = scalar(key, Presence::Optional);
+    if (!value) {
+        return fallback;
+    }
+    if (std::find(allowed.begin(), allowed.end(), value->Scalar()) != allowed.end()) {
+        return value->Scalar();
+    }
+    std::string list;
+    for (const std::string &name : allowed) {
+        list += (list.empty() ? "" : ", ") + name;
+    }
+    report(value->Mark(), ErrorId::SettingsOutOfRange, "'" + value->Scalar() + "' is none of: " + list);
+    return fallback;
+}
+
+std::string YamlReader::address(const std::string &key, Presence presence)
+{
+    const auto value = scalar(key, presence);
+    if (!value) {
+        return {};
+    }
+    if (!isAddress(value->Scalar())) {
+        report(value->Mark(), ErrorId::SettingsBadAddress, "'" + value->Scalar() + "' is not of the form IP:PORT");
+    }
+    return value->Scalar();
+}
+
+std::string YamlReader::url(const std::string &key, Presence presence)
+{
+    const auto value = scalar(key, presence);
+    if (!value) {
+        return {};
+    }
+    const std::string &text = value->Scalar();
+    if (!text.starts_with("http://") && !text.starts_with("https://")) {
+        report(value->Mark(), ErrorId::SettingsBadAddress, "'" + text + "' is not an http or https URL");
+    }
+    return text;
+}
+
+std::optional<YamlReader::Quantity> YamlReader::quantity(const YAML::Node &value, const std::string &key, const std::string &example)
+{
+    const std::string &text = value.Scalar();
+    Quantity quantity;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), quantity.m_number);
+    if (code != std::errc()) {
+        report(value.Mark(), ErrorId::SettingsWrongType, "'" + m_path + '.' + key + "' must be a number with a unit, such as " + example);
+        return std::nullopt;
+    }
+    quantity.m_unit = std::string(end, text.data() + text.size());
+    return quantity;
+}
+
+Duration YamlReader::duration(const std::string &key, Duration fallback, Duration least, Duration most)
+{
+    static const std::map<std::string, double> microsecondsOfUnit{{"us", 1.0}, {"ms", 1e3}, {"s", 1e6}, {"min", 6e7}, {"h", 3.6e9}};
+    const auto value = scalar(key, Presence::Optional);
+    const auto parsed = value ? quantity(*value, key, "250ms") : std::nullopt;
+    if (!parsed) {
+        return fallback;
+    }
+    const auto unit = microsecondsOfUnit.find(parsed->m_unit);
+    if (unit == microsecondsOfUnit.end()) {
+        report(value->Mark(), ErrorId::SettingsBadUnit, "'" + value->Scalar() + "' has no unit of time; use us, ms, s, min or h");
+        return fallback;
+    }
+    const double microseconds = parsed->m_number * unit->second;
+    if (!(microseconds >= static_cast<double>(least.count()) && microseconds <= static_cast<double>(most.count()))) {
+        const std::string range = std::to_string(least.count()) + "us to " + std::to_string(most.count()) + "us";
+        report(value->Mark(), ErrorId::SettingsOutOfRange, "'" + value->Scalar() + "' is out of the range " + range);
+        return fallback;
+    }
+    return Duration(static_cast<std::int64_t>(microseconds));
+}
+
+std::uint64_t YamlReader::size(const std::string &key, std::uint64_t fallback, std::uint64_t least, std::uint64_t most)
+{
+    static const std::map<std::string, double> bytesOfUnit{{"B", 1.0}, {"KiB", 1024.0}, {"MiB", 1048576.0}, {"GiB", 1073741824.0}};
+    const auto value = scalar(key, Presence::Optional);
+    const auto parsed = value ? quantity(*value, key, "64KiB") : std::nullopt;
+    if (!parsed) {
+        return fallback;
+    }
+    const auto unit = bytesOfUnit.find(parsed->m_unit);
+    if (unit == bytesOfUnit.end()) {
+        report(value->Mark(), ErrorId::SettingsBadUnit, "'" + value->Scalar() + "' has no unit of size; use B, KiB, MiB or GiB");
+        return fallback;
+    }
+    const double bytes = parsed->m_number * unit->second;
+    if (!(bytes >= static_cast<double>(least) && bytes <= static_cast<double>(most))) {
+        const std::string range = std::to_string(least) + "B to " + std::to_string(most) + "B";
+        report(value->Mark(), ErrorId::SettingsOutOfRange, "'" + value->Scalar() + "' is out of the range " + range);
+        return fallback;
+    }
+    return static_cast<std::uint64_t>(bytes);
+}
+
+void YamlReader::reportUnknownKeys()
+{
+    if (!m_node.IsMap()) {
+        return;
+    }
+    std::set<std::string> seen;
+    for (const auto &entry : m_node) {
+        const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : "?";
+        if (!seen.insert(key).second) {
+            report(entry.first.Mark(), ErrorId::SettingsUnknownKey, "key '" + key + "' stands twice");
+        }
+        if (m_known.contains(key)) {
+            continue;
+        }
+        const std::string nearest = nearestKey(key, m_known);
+        const std::string suggestion = nearest.empty() ? "" : "; did you mean '" + nearest + "'?";
+        report(entry.first.Mark(), ErrorId::SettingsUnknownKey, "unknown key '" + key + "'" + suggestion);
+    }
+}
+
+}
