Lay the seams that the deciding libraries grow into

Cause: several people are about to deepen the thin path side by side, and the request path, the peer messages and the tests had no agreed places.

Conclusion: each library can now be deepened without touching the others.

--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -12,6 +12,38 @@
 void onAttemptFailed(Node &node, const AttemptFailed &failure, TimePoint now, Actions &actions);
 void onAttemptEnded(Node &node, const AttemptEnded &ended);
 
+/// Takes a request through its steps until one waits or the request is answered.
+void advance(Node &node, ExchangeId id, TimePoint now, Actions &actions);
+
+/// Advances all requests that wait.
+void advanceWaiting(Node &node, TimePoint now, Actions &actions);
+
+/// Answers the caller with a refusal.
+void refuse(Node &node, ExchangeId id, const Dispatch::Problem &problem, Actions &actions);
+
+// Steps of a request
+
+/// Takes a token of the workspace's limit.
+Progress admitExchange(Node &node, ExchangeId id, Exchange &exchange, TimePoint now, Actions &actions);
+
+/// Claims the idempotency key of a request that isn't idempotent.
+Progress claimExchange(Node &node, ExchangeId id, Exchange &exchange, TimePoint now, Actions &actions);
+
+/// Starts an attempt at a backend server that wasn't tried yet.
+Progress placeExchange(Node &node, ExchangeId id, Exchange &exchange, TimePoint now, Actions &actions);
+
+// Attempts
+
+/// Forgets an attempt; returns it, or nothing when it is unknown.
+std::optional<Attempt> finishAttempt(Node &node, AttemptId id);
+
+// Peers
+
+void onPeerSpoke(Node &node, const PeerSpoke &spoke, TimePoint now, Actions &actions);
+
+/// Does what is due by time: heartbeats, leases.
+void tickMembership(Node &node, TimePoint now, Actions &actions);
+
 // Configuration
 
 /// Starts a read of the changes when the last one is old enough.
--- a/include/ragwortrelay/node/action.h
+++ b/include/ragwortrelay/node/action.h
@@ -51,6 +51,15 @@
     friend bool operator==(const CallPlatform &, const CallPlatform &) = default;
 };
 
+/// Sends a message to another host. It may get lost, late, twice or out of order.
+struct SendPeer {
+    HostId m_host;
+    std::string m_address; ///< `IP:PORT`
+    PeerMessage m_message;
+
+    friend bool operator==(const SendPeer &, const SendPeer &) = default;
+};
+
 /// The table as this host has it.
 struct TableShown {
     Configuration::Table m_table;
@@ -125,7 +134,7 @@
     friend bool operator==(const Exit &, const Exit &) = default;
 };
 
-using Action = std::variant<StartAttempt, CancelAttempt, ForwardAnswer, AnswerProblem, CallPlatform, AnswerOperator, SetReadiness, LogChange, Exit>;
+using Action = std::variant<StartAttempt, CancelAttempt, ForwardAnswer, AnswerProblem, CallPlatform, SendPeer, AnswerOperator, SetReadiness, LogChange, Exit>;
 
 using Actions = std::vector<Action>;
 
--- a/include/ragwortrelay/node/event.h
+++ b/include/ragwortrelay/node/event.h
@@ -4,6 +4,7 @@
 #include <ragwortrelay/core/identifier.h>
 #include <ragwortrelay/core/time.h>
 #include <ragwortrelay/dispatch/outcome.h>
+#include <ragwortrelay/node/peermessage.h>
 #include <ragwortrelay/platform/table.h>
 
 #include <cstdint>
@@ -90,6 +91,15 @@
     friend bool operator==(const PlatformAnswered &, const PlatformAnswered &) = default;
 };
 
+/// A message of another host arrived. The peer streams have checked that the sender belongs to the fleet.
+struct PeerSpoke {
+    HostId m_from;
+    Membership::Incarnation m_incarnation = 0;
+    PeerMessage m_message;
+
+    friend bool operator==(const PeerSpoke &, const PeerSpoke &) = default;
+};
+
 /// Asks for the whole table.
 struct ShowTable {
     friend bool operator==(const ShowTable &, const ShowTable &) = default;
@@ -139,6 +149,7 @@
     friend bool operator==(const Ticked &, const Ticked &) = default;
 };
 
-using Event = std::variant<RequestArrived, CallerGone, AttemptAnswered, AttemptFailed, AttemptEnded, PlatformAnswered, OperatorAsked, StopAsked, Ticked>;
+using Event =
+    std::variant<RequestArrived, CallerGone, AttemptAnswered, AttemptFailed, AttemptEnded, PlatformAnswered, PeerSpoke, OperatorAsked, StopAsked, Ticked>;
 
 }
--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -6,6 +6,7 @@
 #include <ragwortrelay/limits/tokenbucket.h>
 #include <ragwortrelay/node/action.h>
 #include <ragwortrelay/node/event.h>
+#include <ragwortrelay/reporting/counters.h>
 
 #include <map>
 #include <optional>
@@ -18,6 +19,8 @@
 struct NodeSettings {
     HostId m_host;
     FailureDomainId m_domain;
+    std::string m_peerAddress; ///< `IP:PORT` where other hosts reach this one.
+    Membership::Incarnation m_incarnation = 0;
     Duration m_pollInterval{std::chrono::seconds(1)}; ///< Between two reads of the configuration.
     Duration m_balancerLag{std::chrono::seconds(2)}; ///< After failing readiness, until the balancer sends nothing more.
     Duration m_stopLimit{std::chrono::seconds(30)}; ///< Longest wait for requests in flight on stopping.
@@ -26,8 +29,24 @@
     friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
 };
 
+/// Steps that a request goes through, in order.
+enum class Stage : std::uint8_t {
+    Admit, ///< Gets a token of its workspace's limit.
+    Claim, ///< Becomes the only one with its idempotency key.
+    Place, ///< Gets a slot of a backend server.
+    Run,
+};
+
+/// What a step did with a request.
+enum class Progress : std::uint8_t {
+    Continue, ///< The next step may begin.
+    Wait, ///< The step is to be tried again later.
+    Ended, ///< The request was answered.
+};
+
 /// A request that this host answers.
 struct Exchange {
+    Stage m_stage = Stage::Admit;
     RequestArrived m_request;
     Configuration::Route m_route;
     WorkspaceId m_workspace; ///< Empty on open routes.
@@ -70,6 +89,8 @@
     std::map<AttemptId, Attempt> m_attempts;
     std::map<PlatformCallId, PendingCall> m_calls;
     std::map<OperatorCallId, EditTable> m_waitingEdits; ///< To be tried again after the next poll.
+    std::set<ExchangeId> m_waitingExchanges; ///< To be advanced with the next tick.
+    Reporting::Counters m_counters;
     AttemptId m_lastAttempt = 0;
     PlatformCallId m_lastCall = 0;
     std::optional<TimePoint> m_polledAt;
--- /dev/null
+++ b/include/ragwortrelay/node/peermessage.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/membership/messages.h>
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace RagwortRelay::Node {
+
+/// What hosts tell one another. The position of a type is its number on the wire: new ones go to the end.
+using PeerMessage = std::variant<Membership::Heartbeat>;
+
+/// Messages of one host to another that travel together.
+struct PeerBatch {
+    HostId m_from;
+    Membership::Incarnation m_incarnation = 0;
+    HostId m_to;
+    std::vector<PeerMessage> m_messages;
+
+    friend bool operator==(const PeerBatch &, const PeerBatch &) = default;
+};
+
+}
--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -65,6 +65,8 @@
 void onTicked(Node &node, TimePoint now, Actions &actions)
 {
     pollConfiguration(node, now, actions);
+    tickMembership(node, now, actions);
+    advanceWaiting(node, now, actions);
     setReadiness(node, node.m_polledAt.has_value() && node.m_table.m_version > 0 && !node.m_stopAskedAt, actions);
     stopWhenIdle(node, now, actions);
 }
@@ -99,6 +101,8 @@
                 detail::onAttemptEnded(node, typed);
             } else if constexpr (std::is_same_v<Type, PlatformAnswered>) {
                 detail::onPlatformAnswered(node, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, PeerSpoke>) {
+                detail::onPeerSpoke(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, OperatorAsked>) {
                 detail::onOperatorAsked(node, typed, actions);
             } else if constexpr (std::is_same_v<Type, StopAsked>) {
--- a/src/runtime/decisionduty.cpp
+++ b/src/runtime/decisionduty.cpp
@@ -117,6 +117,8 @@
                 m_operators->orders().push(typed);
             } else if constexpr (std::is_same_v<Type, Node::SetReadiness>) {
                 m_operators->setReady(typed.m_ready);
+            } else if constexpr (std::is_same_v<Type, Node::SendPeer>) {
+                // Peer streams are not connected yet: the message is lost, which its sender must bear anyway.
             } else if constexpr (std::is_same_v<Type, Node::LogChange>) {
                 logChange(typed.m_text);
             } else {
