Record service levels on each host and report their burn over all

Cause: nobody could see how far a service is from its objective. Metrics are served in the Prometheus text format.

Before: no report.

--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -54,6 +54,22 @@
 /// Appends the change of an edit to the chain, or answers what stands against it.
 void startEdit(Node &node, OperatorCallId call, const EditTable &edit, Actions &actions);
 
+// Service levels
+
+/// Notes what an event tells of the requests that run. Call before the event is handled.
+void observeEvent(Node &node, const Event &event, TimePoint now);
+
+/// Records the requests that were answered. Call after the event was handled.
+void observeActions(Node &node, const Actions &actions, TimePoint now);
+
+/// Stores the records of the present hour when the last time is long enough ago.
+void storeServiceLevels(Node &node, TimePoint now, Actions &actions);
+void onServiceLevelsStored(Node &node, const Platform::Result &result);
+
+/// Starts to read the records of all hosts for an operator.
+void startBurnReport(Node &node, OperatorCallId call, Actions &actions);
+void onServiceLevelsRead(Node &node, const PendingCall &call, const Platform::Result &result, Actions &actions);
+
 // Operators
 
 void onOperatorAsked(Node &node, const OperatorAsked &asked, Actions &actions);
--- a/include/ragwortrelay/node/action.h
+++ b/include/ragwortrelay/node/action.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ragwortrelay/node/event.h>
+#include <ragwortrelay/reporting/burn.h>
 
 #include <string>
 #include <variant>
@@ -105,7 +106,21 @@
     friend bool operator==(const StatusShown &, const StatusShown &) = default;
 };
 
-using OperatorReply = std::variant<TableShown, EditDone, EditConflict, EditRefused, EditUnresolved, StatusShown>;
+/// Counters and histograms in the Prometheus text format.
+struct MetricsShown {
+    std::string m_text;
+
+    friend bool operator==(const MetricsShown &, const MetricsShown &) = default;
+};
+
+/// Service-level burn over all hosts.
+struct BurnShown {
+    Reporting::BurnReport m_report;
+
+    friend bool operator==(const BurnShown &, const BurnShown &) = default;
+};
+
+using OperatorReply = std::variant<TableShown, EditDone, EditConflict, EditRefused, EditUnresolved, StatusShown, MetricsShown, BurnShown>;
 
 /// Answers an operator's command.
 struct AnswerOperator {
--- a/include/ragwortrelay/node/event.h
+++ b/include/ragwortrelay/node/event.h
@@ -129,7 +129,17 @@
     friend bool operator==(const ShowStatus &, const ShowStatus &) = default;
 };
 
-using OperatorCommand = std::variant<ShowTable, EditTable, ShowStatus>;
+/// Asks for all counters and histograms of this host.
+struct ShowMetrics {
+    friend bool operator==(const ShowMetrics &, const ShowMetrics &) = default;
+};
+
+/// Asks for the service-level burn over all hosts.
+struct ShowBurn {
+    friend bool operator==(const ShowBurn &, const ShowBurn &) = default;
+};
+
+using OperatorCommand = std::variant<ShowTable, EditTable, ShowStatus, ShowMetrics, ShowBurn>;
 
 /// An operator's command arrived.
 struct OperatorAsked {
@@ -146,6 +156,8 @@
 
 /// Time went on.
 struct Ticked {
+    std::int64_t m_wallSeconds = 0; ///< Seconds since 1970 by the wall clock, for reports only.
+
     friend bool operator==(const Ticked &, const Ticked &) = default;
 };
 
--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -7,6 +7,7 @@
 #include <ragwortrelay/node/action.h>
 #include <ragwortrelay/node/event.h>
 #include <ragwortrelay/reporting/counters.h>
+#include <ragwortrelay/reporting/servicelevel.h>
 
 #include <map>
 #include <optional>
@@ -67,6 +68,8 @@
 enum class PlatformPurpose : std::uint8_t {
     PollChanges,
     AppendChange,
+    StoreServiceLevels,
+    ReadServiceLevels,
 };
 
 /// A call to the platform that runs.
@@ -77,6 +80,32 @@
     Configuration::Change m_change; ///< Of AppendChange.
 };
 
+/// A request whose answer will count against the objective of its service.
+struct TrackedRequest {
+    ServiceId m_service;
+    TimePoint m_arrivedAt;
+    std::uint16_t m_status = 0; ///< Of the last answer of a backend server, 0 for none.
+    bool m_forwarded = false; ///< The caller is getting the answer.
+};
+
+/// A burn report whose records are being read.
+struct PendingReport {
+    Reporting::ServiceLevels m_levels;
+    std::size_t m_records = 0; ///< Records of hosts read so far.
+};
+
+/// What a host records for the service-level report.
+struct ServiceLevelState {
+    Reporting::ServiceLevels m_levels;
+    std::map<ExchangeId, TrackedRequest> m_requests;
+    Reporting::WallSeconds m_wallClock = 0;
+    std::int64_t m_storedHour = 0; ///< Hours since 1970 of the item that is being written, 0 for none.
+    std::uint64_t m_storedVersion = 0; ///< Version of that item.
+    std::optional<TimePoint> m_storedAt;
+    bool m_storeRuns = false;
+    std::map<OperatorCallId, PendingReport> m_reports;
+};
+
 /// State of one host. The present time and all input reach it as arguments of handle().
 struct Node {
     NodeSettings m_settings;
@@ -91,6 +120,7 @@
     std::map<OperatorCallId, EditTable> m_waitingEdits; ///< To be tried again after the next poll.
     std::set<ExchangeId> m_waitingExchanges; ///< To be advanced with the next tick.
     Reporting::Counters m_counters;
+    ServiceLevelState m_serviceLevels;
     AttemptId m_lastAttempt = 0;
     PlatformCallId m_lastCall = 0;
     std::optional<TimePoint> m_polledAt;
--- a/include/ragwortrelay/runtime/operatorcodec.h
+++ b/include/ragwortrelay/runtime/operatorcodec.h
@@ -10,6 +10,9 @@
 
 namespace RagwortRelay::Runtime {
 
+/// Path of the metrics in the Prometheus text format, which need no token.
+inline constexpr const char *MetricsPath = "/ragwortrelay/metrics";
+
 /// HTTP form of an answer to an operator.
 struct OperatorAnswer {
     std::uint16_t m_status = 200;
--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -28,6 +28,10 @@
         return onChangesRead(node, answer.m_result, now, actions);
     case PlatformPurpose::AppendChange:
         return onChangeAppended(node, call, answer.m_result, now, actions);
+    case PlatformPurpose::StoreServiceLevels:
+        return onServiceLevelsStored(node, answer.m_result);
+    case PlatformPurpose::ReadServiceLevels:
+        return onServiceLevelsRead(node, call, answer.m_result, actions);
     }
 }
 
@@ -66,6 +70,7 @@
 {
     pollConfiguration(node, now, actions);
     tickMembership(node, now, actions);
+    storeServiceLevels(node, now, actions);
     advanceWaiting(node, now, actions);
     setReadiness(node, node.m_polledAt.has_value() && node.m_table.m_version > 0 && !node.m_stopAskedAt, actions);
     stopWhenIdle(node, now, actions);
@@ -86,6 +91,7 @@
 Actions handle(Node &node, const Event &event, TimePoint now)
 {
     Actions actions;
+    detail::observeEvent(node, event, now);
     std::visit(
         [&](const auto &typed) {
             using Type = std::decay_t<decltype(typed)>;
@@ -112,6 +118,7 @@
             }
         },
         event);
+    detail::observeActions(node, actions, now);
     return actions;
 }
 
--- a/src/node/operators.cpp
+++ b/src/node/operators.cpp
@@ -11,6 +11,14 @@
         actions.push_back(AnswerOperator{asked.m_call, TableShown{node.m_table}});
         return;
     }
+    if (std::holds_alternative<ShowMetrics>(asked.m_command)) {
+        actions.push_back(
+            AnswerOperator{asked.m_call, MetricsShown{Reporting::exposition(node.m_counters) + Reporting::exposition(node.m_serviceLevels.m_levels)}});
+        return;
+    }
+    if (std::holds_alternative<ShowBurn>(asked.m_command)) {
+        return startBurnReport(node, asked.m_call, actions);
+    }
     StatusShown status;
     status.m_host = node.m_settings.m_host.text();
     status.m_version = node.m_table.m_version;
--- /dev/null
+++ b/src/reporting/burntext.cpp
@@ -0,0 +1,73 @@
+#include <ragwortrelay/reporting/burn.h>
+
+#include <cstdio>
+#include <ctime>
+
+namespace RagwortRelay::Reporting {
+
+namespace {
+
+constexpr std::size_t NameWidth = 24;
+constexpr std::size_t CellWidth = 10;
+
+std::string padded(const std::string &text, std::size_t width)
+{
+    return text.size() < width ? text + std::string(width - text.size(), ' ') : text + ' ';
+}
+
+std::string formatNumber(const char *format, double value)
+{
+    char text[64];
+    std::snprintf(text, sizeof text, format, value);
+    return text;
+}
+
+std::string formatTime(WallSeconds at)
+{
+    const std::time_t time = at;
+    std::tm parts{};
+    gmtime_r(&time, &parts);
+    char text[32];
+    std::strftime(text, sizeof text, "%Y-%m-%d %H:%M:%S UTC", &parts);
+    return text;
+}
+
+std::string formatMilliseconds(Duration duration)
+{
+    return formatNumber("%.1f ms", std::chrono::duration<double, std::milli>(duration).count());
+}
+
+std::string stateOf(const ServiceBurn &burn)
+{
+    if (burn.m_fast) {
+        return "FAST BURN";
+    }
+    return burn.m_steady ? "steady burn" : "ok";
+}
+
+}
+
+std::string formatReport(const BurnReport &report)
+{
+    std::string text = "Service-level burn at " + formatTime(report.m_at) + ", from " + std::to_string(report.m_records) + " host records";
+    text += report.m_complete ? "\n" : " (incomplete: the platform's table can't be read)\n";
+    text += "Burn rate 1 uses the error budget up exactly.\n\n";
+    text += padded("SERVICE", NameWidth) + padded("OBJECTIVE", CellWidth);
+    if (!report.m_services.empty()) {
+        for (const WindowBurn &window : report.m_services.front().m_windows) {
+            text += padded(window.m_name, CellWidth);
+        }
+    }
+    text += padded("P50", CellWidth) + padded("P99", CellWidth + 2) + "STATE\n";
+    for (const ServiceBurn &burn : report.m_services) {
+        text += padded(burn.m_objective.m_service.text(), NameWidth);
+        text += padded(formatNumber("%.4g%%", 100.0 * burn.m_objective.m_goodShare), CellWidth);
+        for (const WindowBurn &window : burn.m_windows) {
+            text += padded(window.m_requests == 0 ? "-" : formatNumber("%.2f", window.m_burnRate), CellWidth);
+        }
+        text += padded(formatMilliseconds(burn.m_median), CellWidth) + padded(formatMilliseconds(burn.m_p99), CellWidth + 2) + stateOf(burn) + '\n';
+    }
+    return text;
+}
+
+}
--- a/src/runtime/decisionduty.cpp
+++ b/src/runtime/decisionduty.cpp
@@ -13,6 +13,16 @@
     return TimePoint(std::chrono::duration_cast<Duration>(sinceStart));
 }
 
+namespace {
+
+std::int64_t wallSeconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(sinceEpoch).count();
+}
+
+}
+
 DecisionDuty::DecisionDuty(const Node::NodeSettings &settings, std::uint64_t seed)
     : m_inputs(InputCapacity, [this] { m_wakeup.notify(); }), m_node(Node::makeNode(settings, seed))
 {
@@ -59,7 +69,7 @@
     while (!m_stopping.load()) {
         const TimePoint now = currentTime();
         if (now >= nextTick) {
-            handle(Node::Ticked{});
+            handle(Node::Ticked{wallSeconds()});
             nextTick = now + TickInterval;
         }
         const auto wait = std::chrono::ceil<std::chrono::milliseconds>(nextTick - now);
--- a/src/runtime/operatorcodec.cpp
+++ b/src/runtime/operatorcodec.cpp
@@ -87,6 +87,16 @@
     return {HttpOk, Json{{"host", status.m_host}, {"version", status.m_version}, {"ready", status.m_ready}, {"inFlight", status.m_requestsInFlight}}.dump()};
 }
 
+OperatorAnswer encode(const Node::MetricsShown &metrics)
+{
+    return {HttpOk, metrics.m_text};
+}
+
+OperatorAnswer encode(const Node::BurnShown &burn)
+{
+    return {HttpOk, Reporting::encodeReport(burn.m_report)};
+}
+
 }
 
 tl::expected<Node::OperatorCommand, Error> decodeCommand(const std::string &method, const std::string &path, const std::string &body)
@@ -97,6 +107,12 @@
     if (method == "GET" && path == "/ragwortrelay/status") {
         return Node::ShowStatus{};
     }
+    if (method == "GET" && path == MetricsPath) {
+        return Node::ShowMetrics{};
+    }
+    if (method == "GET" && path == "/ragwortrelay/burn") {
+        return Node::ShowBurn{};
+    }
     if (method != "POST" || path != "/ragwortrelay/table") {
         return tl::unexpected(Error{ErrorId::RequestNoRoute, "no such command"});
     }
--- a/src/runtime/operatorfront.cpp
+++ b/src/runtime/operatorfront.cpp
@@ -110,7 +110,7 @@
             const bool ready = m_ready.load();
             return answer(exchange, {static_cast<std::uint16_t>(ready ? 200 : 503), ready ? "{\"ready\":true}" : "{\"ready\":false}"});
         }
-        if (!isAuthorized(exchange)) {
+        if (exchange.m_path != MetricsPath && !isAuthorized(exchange)) {
             return answer(exchange, {401, "{\"id\":\"" + toString(ErrorId::OperatorUnauthorized) + "\"}"});
         }
         auto command = decodeCommand(method, exchange.m_path, exchange.m_body);
@@ -137,7 +137,7 @@
     {
         std::string body = content.m_body;
         MHD_Response *response = MHD_create_response_from_buffer(body.size(), body.data(), MHD_RESPMEM_MUST_COPY);
-        MHD_add_response_header(response, "Content-Type", "application/json");
+        MHD_add_response_header(response, "Content-Type", exchange.m_path == MetricsPath ? "text/plain; version=0.0.4" : "application/json");
         const MHD_Result result = MHD_queue_response(exchange.m_connection, content.m_status, response);
         MHD_destroy_response(response);
         return result;
--- a/tests/fakes/fakefleet.h
+++ b/tests/fakes/fakefleet.h
@@ -167,11 +167,17 @@
             return;
         }
         if (!m_paused.contains(host)) {
-            deliver(host, Node::Ticked{});
+            deliver(host, Node::Ticked{wallSeconds()});
         }
         at(TickInterval, [this, host, life] { tick(host, life); });
     }
 
+    [[nodiscard]] std::int64_t wallSeconds() const
+    {
+        constexpr std::int64_t WallClockAtZero = 1'800'000'000;
+        return WallClockAtZero + std::chrono::duration_cast<std::chrono::seconds>(m_now.time_since_epoch()).count();
+    }
+
     /// Delivers later, unless the host has another life by then.
     void deliverLater(const HostId &host, Duration delay, const Node::Event &event)
     {
