Give each group of commands a file of its own

Cause: all commands stood in one file, which others are about to grow; the edit distance behind "did you mean" was private to the settings reader, and the table file needs it too.

Conclusion: a command group registers itself in commandgroups.h, shared pieces (host arguments, output, table edits) are headers under detail/cli, and the edit distance is in core.

--- /dev/null
+++ b/src/cli/output.cpp
@@ -0,0 +1,31 @@
+#include <ragwortrelay/detail/cli/output.h>
+
+#include <iostream>
+
+namespace RagwortRelay::Cli::detail {
+
+void printFindings(const Findings &findings)
+{
+    for (const Finding &finding : findings) {
+        std::cerr << toString(finding) << '\n';
+    }
+}
+
+void printError(const Error &error)
+{
+    std::cerr << "error " << toString(error.m_id) << ": " << error.m_message << '\n';
+}
+
+ExitCode printAnswer(const tl::expected<OperatorResponse, Error> &response)
+{
+    constexpr long HttpOk = 200;
+    if (!response) {
+        printError(response.error());
+        return ExitCode::Failed;
+    }
+    const bool done = response->m_status == HttpOk;
+    (done ? std::cout : std::cerr) << response->m_body << '\n';
+    return done ? ExitCode::Done : ExitCode::Failed;
+}
+
+}
--- /dev/null
+++ b/src/cli/statuscommand.cpp
@@ -0,0 +1,24 @@
+#include <ragwortrelay/detail/cli/commandgroups.h>
+#include <ragwortrelay/detail/cli/hostarguments.h>
+#include <ragwortrelay/detail/cli/output.h>
+
+namespace RagwortRelay::Cli::detail {
+
+namespace {
+
+ExitCode status(Arguments arguments)
+{
+    TCLAP::CmdLine commandLine("Prints the state of a host", ' ', Version);
+    HostArguments host(commandLine);
+    commandLine.parse(arguments);
+    return printAnswer(askHost(host.endpoint(), "/ragwortrelay/status", ""));
+}
+
+}
+
+void addStatusCommands(Commands &commands)
+{
+    commands["status"] = status;
+}
+
+}
--- a/src/settings/yamlreader.cpp
+++ b/src/settings/yamlreader.cpp
@@ -1,3 +1,4 @@
+#include <ragwortrelay/core/editdistance.h>
 #include <ragwortrelay/detail/settings/yamlreader.h>
 
 #include <algorithm>
@@ -5,45 +6,11 @@
 #include <array>
 #include <charconv>
 #include <map>
-#include <numeric>
 
 namespace RagwortRelay::Settings::detail {
 
 namespace {
 
-/// Returns the number of single-character edits between two texts.
-/// Source: Wagner and Fischer, "The String-to-String Correction Problem" (1974).
-std::size_t editDistance(const std::string &left, const std::string &right)
-{
-    std::vector<std::size_t> row(right.size() + 1);
-    std::iota(row.begin(), row.end(), 0);
-    for (std::size_t i = 1; i <= left.size(); ++i) {
-        std::size_t diagonal = row[0];
-        row[0] = i;
-        for (std::size_t j = 1; j <= right.size(); ++j) {
-            const std::size_t substitution = diagonal + (left[i - 1] == right[j - 1] ? 0 : 1);
-            diagonal = row[j];
-            row[j] = std::min({row[j] + 1, row[j - 1] + 1, substitution});
-        }
-    }
-    return row.back();
-}
-
-std::string nearestKey(const std::string &key, const std::set<std::string> &known)
-{
-    constexpr std::size_t FarthestSuggestion = 3;
-    std::string nearest;
-    std::size_t distance = FarthestSuggestion + 1;
-    for (const std::string &candidate : known) {
-        const std::size_t candidateDistance = editDistance(key, candidate);
-        if (candidateDistance < distance) {
-            distance = candidateDistance;
-            nearest = candidate;
-        }
-    }
-    return nearest;
-}
-
 bool isPort(const std::string &text)
 {
     unsigned port = 0;
@@ -234,7 +201,7 @@
         if (m_known.contains(key)) {
             continue;
         }
-        const std::string nearest = nearestKey(key, m_known);
+        const std::string nearest = nearestText(key, m_known);
         const std::string suggestion = nearest.empty() ? "" : "; did you mean '" + nearest + "'?";
         report(entry.first.Mark(), ErrorId::SettingsUnknownKey, "unknown key '" + key + "'" + suggestion);
     }
