Pick servers by estimated use and queue requests by workspace

Cause: a server with two or four slots before 36 to 48 hosts is often full when a host that knows only its own requests picks it, and a request that found no slot was refused.

A shed now leaves the server out for 15 ms and does not count as a try; the pick weighs decaying load reports, the host's own requests, weights, slow start, draining and the subset that keeps connections under 300 a server. Requests without a slot wait in a bounded queue per service whose workspaces take turns by start-time fair queueing, and are refused as not run when they can't be answered in time.

--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -37,6 +37,18 @@
 /// Forgets an attempt; returns it, or nothing when it is unknown.
 std::optional<Attempt> finishAttempt(Node &node, AttemptId id);
 
+/// Takes in the answer of a backend server to a running attempt, before the attempt is finished.
+void observeAnswer(Node &node, const AttemptAnswered &answer, TimePoint now);
+
+/// Places a request again that a backend server shed unrun. Precondition: the attempt was finished.
+void placeAgainAfterShed(Node &node, ExchangeId id, const ServerId &server, TimePoint now, Actions &actions);
+
+/// Gives the requests that wait for a slot their turns, and refuses those that can't be answered in time any more.
+void serveQueues(Node &node, TimePoint now, Actions &actions);
+
+/// Takes a request that its caller gave up out of its queue.
+void leaveQueue(Node &node, ExchangeId id, const Exchange &exchange);
+
 // Peers
 
 void onPeerSpoke(Node &node, const PeerSpoke &spoke, TimePoint now, Actions &actions);
--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -6,6 +6,7 @@
 #include <ragwortrelay/limits/tokenbucket.h>
 #include <ragwortrelay/node/action.h>
 #include <ragwortrelay/node/event.h>
+#include <ragwortrelay/node/placement.h>
 #include <ragwortrelay/reporting/counters.h>
 
 #include <map>
@@ -26,6 +27,9 @@
     Duration m_stopLimit{std::chrono::seconds(30)}; ///< Longest wait for requests in flight on stopping.
     std::uint32_t m_attemptsAtMost = 3;
 
+    Balancing::BalancerSettings m_balancing;
+    Balancing::QueueSettings m_queue;
+
     friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
 };
 
@@ -54,6 +58,8 @@
     AttemptId m_attempt = 0; ///< The one that may answer the caller.
     std::uint32_t m_attempts = 0;
     std::set<ServerId> m_tried;
+    std::vector<ServerId> m_shedBy; ///< Servers that shed it since it last waited for its turn.
+    std::optional<TimePoint> m_placeBefore; ///< Set when it first waits for its turn.
 };
 
 /// An attempt that runs.
@@ -85,6 +91,7 @@
     Configuration::Catalogue m_catalogue;
     std::map<WorkspaceId, Limits::TokenBucket> m_buckets;
     Balancing::Balancer m_balancer;
+    Placement m_placement;
     std::map<ExchangeId, Exchange> m_exchanges;
     std::map<AttemptId, Attempt> m_attempts;
     std::map<PlatformCallId, PendingCall> m_calls;
--- a/src/node/configurationduty.cpp
+++ b/src/node/configurationduty.cpp
@@ -19,10 +19,11 @@
     return applied;
 }
 
-void rebuildCatalogue(Node &node, Actions &actions)
+void rebuildCatalogue(Node &node, TimePoint now, Actions &actions)
 {
     Findings findings;
     node.m_catalogue = Configuration::buildCatalogue(node.m_table, findings);
+    Balancing::noteCatalogue(node.m_balancer, node.m_settings.m_balancing, node.m_catalogue, now);
     actions.push_back(LogChange{"configuration version " + std::to_string(node.m_table.m_version) + " in force"});
 }
 
@@ -95,7 +96,7 @@
         return;
     }
     if (applyChanges(node, *read) > 0) {
-        rebuildCatalogue(node, actions);
+        rebuildCatalogue(node, now, actions);
     }
     if (read->m_more) {
         node.m_polledAt.reset();
@@ -124,7 +125,7 @@
 {
     if (std::holds_alternative<Platform::Written>(result)) {
         if (Configuration::applyChange(node.m_table, call.m_change)) {
-            rebuildCatalogue(node, actions);
+            rebuildCatalogue(node, now, actions);
         }
         actions.push_back(AnswerOperator{call.m_operatorCall, EditDone{call.m_change.m_version}});
         return;
--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -112,6 +112,7 @@
             }
         },
         event);
+    detail::serveQueues(node, now, actions);
     return actions;
 }
 
--- a/src/node/requests.cpp
+++ b/src/node/requests.cpp
@@ -116,6 +116,7 @@
         return;
     }
     const AttemptId attempt = exchange->second.m_attempt;
+    leaveQueue(node, gone.m_exchange, exchange->second);
     node.m_exchanges.erase(exchange);
     node.m_waitingExchanges.erase(gone.m_exchange);
     if (finishAttempt(node, attempt)) {
@@ -130,13 +131,12 @@
         return;
     }
     const ExchangeId id = running->second.m_exchange;
-    Exchange &exchange = node.m_exchanges.at(id);
-    const bool mayRun = !answer.m_notRun;
-    if (answer.m_notRun && mayRetry(node, exchange, mayRun, now)) {
+    observeAnswer(node, answer, now);
+    if (answer.m_notRun && now < node.m_exchanges.at(id).m_deadline) {
+        const ServerId server = running->second.m_server;
         finishAttempt(node, answer.m_attempt);
         actions.push_back(CancelAttempt{answer.m_attempt});
-        exchange.m_stage = Stage::Place;
-        return advance(node, id, now, actions);
+        return placeAgainAfterShed(node, id, server, now, actions);
     }
     actions.push_back(ForwardAnswer{id, answer.m_attempt});
     if (answer.m_whole) {
