--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -118,6 +118,7 @@
             }
         },
         event);
+    detail::serveQueues(node, now, actions);
     detail::observeActions(node, actions, now);
     return actions;
 }
