Read alert rules of the setup that is replaced

Cause: operators bring their objectives as alert rules in the form of Prometheus. `import-rules FILE` takes over ratios of failures, multiples of the error budget, latency quantiles and ratios by instance as cells of the service's row, and reports all else with file, line and column. `report burn` prints the burn as a table, as JSON and as a page with plots.

Before: no import.

Conclusion: rules come in as rows for `table apply`; the two detection columns are stored, and the health library is to read them.

--- a/include/ragwortrelay/configuration/catalogue.h
+++ b/include/ragwortrelay/configuration/catalogue.h
@@ -18,6 +18,8 @@
     double m_floor = 0.5; ///< Share of the capacity that ejection must leave, 0 to 1.
     double m_objective = 0.999; ///< Share of requests that must succeed, 0 to 1.
     Duration m_latencyObjective{std::chrono::seconds(1)}; ///< Slower answers count against the objective.
+    double m_detectFailures = 0.0; ///< Share of failures from which a backend server counts as sick; 0 for the setting of the host.
+    Duration m_detectAfter{}; ///< How long that must last; 0 for the setting of the host.
 
     friend bool operator==(const Service &, const Service &) = default;
 };
--- a/include/ragwortrelay/detail/cli/commandgroups.h
+++ b/include/ragwortrelay/detail/cli/commandgroups.h
@@ -27,5 +27,7 @@
 void addTableCommands(Commands &commands);
 void addKeyCommands(Commands &commands);
 void addStatusCommands(Commands &commands);
+void addReportCommands(Commands &commands);
+void addRulesCommands(Commands &commands);
 
 }
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -16,6 +16,8 @@
         detail::addTableCommands(commands);
         detail::addKeyCommands(commands);
         detail::addStatusCommands(commands);
+        detail::addReportCommands(commands);
+        detail::addRulesCommands(commands);
         return commands;
     }();
     return all;
--- /dev/null
+++ b/src/cli/reportcommands.cpp
@@ -0,0 +1,49 @@
+#include <ragwortrelay/detail/cli/commandgroups.h>
+#include <ragwortrelay/detail/cli/hostarguments.h>
+#include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/reporting/burn.h>
+
+#include <fstream>
+#include <iostream>
+
+namespace RagwortRelay::Cli::detail {
+
+namespace {
+
+ExitCode writeFile(const std::string &name, const std::string &content)
+{
+    std::ofstream file(name);
+    file << content;
+    file.close();
+    if (!file) {
+        std::cerr << name << ": can't be written\n";
+        return ExitCode::Failed;
+    }
+    return ExitCode::Done;
+}
+
+ExitCode reportBurn(Arguments arguments)
+{
+    constexpr long HttpOk = 200;
+    TCLAP::CmdLine commandLine("Prints the service-level burn over all hosts", ' ', Version);
+    HostArguments host(commandLine);
+    TCLAP::ValueArg<std::string> page("", "html", "Write a page with plots to this file", false, "", "FILE", commandLine);
+    TCLAP::SwitchArg json("", "json", "Print JSON", commandLine);
+    commandLine.parse(arguments);
+    const auto response = askHost(host.endpoint(), "/ragwortrelay/burn", "");
+    if (!response || response->m_status != HttpOk || json.getValue()) {
+        return printAnswer(response);
+    }
+    const Reporting::BurnReport report = Reporting::decodeReport(response->m_body);
+    std::cout << Reporting::formatReport(report);
+    return page.getValue().empty() ? ExitCode::Done : writeFile(page.getValue(), Reporting::formatReportPage(report));
+}
+
+}
+
+void addReportCommands(Commands &commands)
+{
+    commands["report burn"] = reportBurn;
+}
+
+}
--- a/src/configuration/catalogue.cpp
+++ b/src/configuration/catalogue.cpp
@@ -93,6 +93,8 @@
     service.m_floor = cells.number("floor", service.m_floor, 0.0, 1.0);
     service.m_objective = cells.number("objective", service.m_objective, 0.0, 0.999999);
     service.m_latencyObjective = cells.milliseconds("latency_ms", service.m_latencyObjective);
+    service.m_detectFailures = cells.number("detect_failures", service.m_detectFailures, 0.0, 1.0);
+    service.m_detectAfter = cells.milliseconds("detect_after_ms", service.m_detectAfter);
     if (cells.isClean()) {
         catalogue.m_services[service.m_id] = service;
     }
