Keep a roster of seats through the platform's table

Hosts knew nothing of one another. A seat holds shards, which the limits will be laid on; a shard has one holder at a time because its moves are steps of the same chain. A seat is reclaimed only when the platform's list says that its life is over, or after a horizon at which its holder has stopped by itself.

--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -41,7 +41,14 @@
 
 void onPeerSpoke(Node &node, const PeerSpoke &spoke, TimePoint now, Actions &actions);
 
-/// Does what is due by time: heartbeats, leases.
+// Membership
+
+/// Returns what membership is told about this host.
+Membership::MembershipSettings membershipSettingsOf(const NodeSettings &settings);
+void onHeartbeat(Node &node, const PeerSpoke &spoke, const Membership::Heartbeat &heartbeat, TimePoint now);
+void onMembershipAnswered(Node &node, Membership::CallKind kind, const Platform::Result &result, TimePoint now, Actions &actions);
+
+/// Does what is due by time: heartbeats, reads of the roster, confirmations.
 void tickMembership(Node &node, TimePoint now, Actions &actions);
 
 // Configuration
--- a/include/ragwortrelay/membership/messages.h
+++ b/include/ragwortrelay/membership/messages.h
@@ -17,13 +17,14 @@
     std::uint64_t m_configurationVersion = 0; ///< In force on the sender.
     std::vector<HostId> m_heard; ///< Hosts that the sender has heard of late.
     bool m_leaving = false;
+    bool m_heardOmitted = false; ///< The hosts heard are those of the last heartbeat that told them.
 
     friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 
     /// Returns the fields in the order of the wire format.
     static auto fields(auto &self)
     {
-        return std::tie(self.m_sequence, self.m_configurationVersion, self.m_heard, self.m_leaving);
+        return std::tie(self.m_sequence, self.m_configurationVersion, self.m_heard, self.m_leaving, self.m_heardOmitted);
     }
 };
 
--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -4,6 +4,7 @@
 #include <ragwortrelay/configuration/catalogue.h>
 #include <ragwortrelay/core/random.h>
 #include <ragwortrelay/limits/tokenbucket.h>
+#include <ragwortrelay/membership/membership.h>
 #include <ragwortrelay/node/action.h>
 #include <ragwortrelay/node/event.h>
 #include <ragwortrelay/reporting/counters.h>
@@ -25,6 +26,8 @@
     Duration m_balancerLag{std::chrono::seconds(2)}; ///< After failing readiness, until the balancer sends nothing more.
     Duration m_stopLimit{std::chrono::seconds(30)}; ///< Longest wait for requests in flight on stopping.
     std::uint32_t m_attemptsAtMost = 3;
+    std::map<HostId, std::string> m_peerSeeds; ///< Addresses of some hosts, for a start without the platform.
+    Duration m_seatHorizon{std::chrono::hours(24)}; ///< See Membership::MembershipSettings::m_horizon.
 
     friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
 };
@@ -67,6 +70,7 @@
 enum class PlatformPurpose : std::uint8_t {
     PollChanges,
     AppendChange,
+    Membership,
 };
 
 /// A call to the platform that runs.
@@ -75,6 +79,7 @@
     OperatorCallId m_operatorCall = 0;
     EditTable m_edit; ///< Of AppendChange.
     Configuration::Change m_change; ///< Of AppendChange.
+    Membership::CallKind m_membershipCall{}; ///< Of Membership.
 };
 
 /// State of one host. The present time and all input reach it as arguments of handle().
@@ -90,6 +95,7 @@
     std::map<PlatformCallId, PendingCall> m_calls;
     std::map<OperatorCallId, EditTable> m_waitingEdits; ///< To be tried again after the next poll.
     std::set<ExchangeId> m_waitingExchanges; ///< To be advanced with the next tick.
+    Membership::MembershipState m_membership;
     Reporting::Counters m_counters;
     AttemptId m_lastAttempt = 0;
     PlatformCallId m_lastCall = 0;
--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -28,6 +28,8 @@
         return onChangesRead(node, answer.m_result, now, actions);
     case PlatformPurpose::AppendChange:
         return onChangeAppended(node, call, answer.m_result, now, actions);
+    case PlatformPurpose::Membership:
+        return onMembershipAnswered(node, call.m_membershipCall, answer.m_result, now, actions);
     }
 }
 
@@ -45,10 +47,14 @@
 {
     if (!node.m_stopAskedAt) {
         node.m_stopAskedAt = now;
+        Membership::startLeaving(node.m_membership, now);
         actions.push_back(LogChange{"graceful shutdown started"});
     }
 }
 
+/// Given to giving up the seat while the platform answers; a seat that is left behind is reclaimed by others.
+constexpr Duration LongestWaitToLeave = std::chrono::seconds(5);
+
 void stopWhenIdle(Node &node, TimePoint now, Actions &actions)
 {
     if (!node.m_stopAskedAt || node.m_exited) {
@@ -56,7 +62,11 @@
     }
     const Duration stoppingFor = now - *node.m_stopAskedAt;
     const bool isIdle = stoppingFor >= node.m_settings.m_balancerLag && node.m_exchanges.empty();
-    if (isIdle || stoppingFor >= node.m_settings.m_stopLimit) {
+    if (isIdle) {
+        Membership::allowLeave(node.m_membership);
+    }
+    const bool hasLeft = Membership::isWithoutSeat(node.m_membership) || stoppingFor >= node.m_settings.m_balancerLag + LongestWaitToLeave;
+    if ((isIdle && hasLeft) || stoppingFor >= node.m_settings.m_stopLimit) {
         node.m_exited = true;
         actions.push_back(Exit{});
     }
@@ -80,6 +90,7 @@
     Node node;
     node.m_settings = settings;
     node.m_random.seed(seed);
+    node.m_membership = Membership::makeMembership(detail::membershipSettingsOf(settings), node.m_random);
     return node;
 }
 
