Carry messages between hosts over HTTP/2 with mutual TLS

Cause: the SendPeer action went nowhere. A duty thread now holds one connection to each host that is spoken to, sends batches as request streams, bounds its queues, notices half-dead connections and takes batches only from holders of a certificate of the fleet's authority. Settings get a required section `peers`; the section 'peers' is therefore one more finding in the test of a file that lacks it.

Before: no message between hosts was delivered.

--- a/include/ragwortrelay/core/error.h
+++ b/include/ragwortrelay/core/error.h
@@ -19,6 +19,7 @@
     SettingsMissingKey = 107,
     SettingsMissingFile = 108,
     SettingsCrossReference = 109,
+    SettingsBadCertificate = 110,
     // 02xx: table
     TableUnreadable = 201,
     TableBadCell = 202,
--- a/include/ragwortrelay/detail/settings/yamlreader.h
+++ b/include/ragwortrelay/detail/settings/yamlreader.h
@@ -37,6 +37,18 @@
     /// Returns an address of the form `IP:PORT`.
     [[nodiscard]] std::string address(const std::string &key, Presence presence);
 
+    /// Returns a list of addresses of the form `IP:PORT`, empty when there is none.
+    [[nodiscard]] std::vector<std::string> addresses(const std::string &key);
+
+    /// Returns the name of a file that can be read, as seen from the folder of the settings file; empty for none.
+    [[nodiscard]] std::string file(const std::string &key, Presence presence);
+
+    /// Returns a whole number within [least, most].
+    [[nodiscard]] std::uint64_t count(const std::string &key, std::uint64_t fallback, std::uint64_t least, std::uint64_t most);
+
+    /// Reports a finding at the value of a key, or at the section when the key is not there.
+    void reportAt(const std::string &key, ErrorId id, const std::string &message);
+
     /// Returns an `http` or `https` URL.
     [[nodiscard]] std::string url(const std::string &key, Presence presence);
 
--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace RagwortRelay::Node {
 
@@ -21,6 +22,7 @@
     FailureDomainId m_domain;
     std::string m_peerAddress; ///< `IP:PORT` where other hosts reach this one.
     Membership::Incarnation m_incarnation = 0;
+    std::vector<std::string> m_seedAddresses; ///< `IP:PORT` of hosts to talk to while the platform can't be reached.
     Duration m_pollInterval{std::chrono::seconds(1)}; ///< Between two reads of the configuration.
     Duration m_balancerLag{std::chrono::seconds(2)}; ///< After failing readiness, until the balancer sends nothing more.
     Duration m_stopLimit{std::chrono::seconds(30)}; ///< Longest wait for requests in flight on stopping.
--- a/include/ragwortrelay/runtime/decisionduty.h
+++ b/include/ragwortrelay/runtime/decisionduty.h
@@ -5,6 +5,7 @@
 #include <ragwortrelay/runtime/callerfront.h>
 #include <ragwortrelay/runtime/input.h>
 #include <ragwortrelay/runtime/operatorfront.h>
+#include <ragwortrelay/runtime/peerstreams.h>
 #include <ragwortrelay/runtime/platformclient.h>
 #include <ragwortrelay/runtime/wakeup.h>
 
@@ -36,7 +37,7 @@
     [[nodiscard]] DecisionRing &inputs();
 
     /// Connects the other duties. Call once, before start(); they must outlive the thread.
-    void connect(CallerFront &callers, BackendClient &backends, PlatformClient &platform, OperatorFront &operators);
+    void connect(CallerFront &callers, BackendClient &backends, PlatformClient &platform, OperatorFront &operators, PeerStreams &peers);
 
     /// Starts the thread. Call once, after connect().
     /// @param onExit called on the duty's thread once the host has stopped gracefully
@@ -69,6 +70,7 @@
     BackendClient *m_backends = nullptr;
     PlatformClient *m_platform = nullptr;
     OperatorFront *m_operators = nullptr;
+    PeerStreams *m_peers = nullptr;
     std::map<Node::ExchangeId, std::shared_ptr<const CallerRequest>> m_requests;
     std::map<Node::AttemptId, std::shared_ptr<AnswerStream>> m_streams;
     std::deque<Node::Event> m_localEvents;
--- a/include/ragwortrelay/runtime/host.h
+++ b/include/ragwortrelay/runtime/host.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <ragwortrelay/reporting/counters.h>
 #include <ragwortrelay/settings/settings.h>
 
 #include <memory>
@@ -31,6 +32,12 @@
     /// Returns the address for operators. Precondition: started.
     [[nodiscard]] std::string operatorAddress() const;
 
+    /// Returns the address for other hosts. No preconditions; thread-safe.
+    [[nodiscard]] std::string peerAddress() const;
+
+    /// Returns the counters of all duties but the decision duty. No preconditions; thread-safe.
+    [[nodiscard]] Reporting::Counters counters() const;
+
 private:
     class Implementation;
     std::unique_ptr<Implementation> m_implementation;
--- a/include/ragwortrelay/settings/settings.h
+++ b/include/ragwortrelay/settings/settings.h
@@ -6,8 +6,10 @@
 
 #include <tl/expected.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace RagwortRelay::Settings {
 
@@ -47,6 +49,27 @@
     friend bool operator==(const PlatformSettings &, const PlatformSettings &) = default;
 };
 
+/// How connections between hosts are secured.
+enum class PeerSecurity : std::uint8_t {
+    Tls, ///< TLS 1.3, both sides show a certificate of the fleet's authority.
+    None, ///< Plain TCP, only on loopback addresses.
+};
+
+/// How other hosts reach this one.
+struct PeerSettings {
+    std::string m_listen; ///< `IP:PORT`; port 0 lets the kernel choose.
+    std::string m_advertise; ///< `IP:PORT` that other hosts connect to; port 0 stands for the port of m_listen.
+    PeerSecurity m_security = PeerSecurity::Tls;
+    std::string m_certificate; ///< PEM file, of this host, maybe with intermediate certificates.
+    std::string m_key; ///< PEM file, of m_certificate.
+    std::string m_authority; ///< PEM file; whoever holds a certificate of this authority belongs to the fleet.
+    std::vector<std::string> m_seeds; ///< `IP:PORT` of hosts to talk to while the platform's list can't be had.
+    Duration m_batchInterval{std::chrono::milliseconds(1)}; ///< Longest wait of a message for others to travel with.
+    std::uint64_t m_queueLimit = 512; ///< Messages that wait for one host.
+
+    friend bool operator==(const PeerSettings &, const PeerSettings &) = default;
+};
+
 /// How this host stops.
 struct StopSettings {
     Duration m_balancerLag{std::chrono::seconds(2)};
@@ -68,6 +91,7 @@
     CallerSettings m_callers;
     OperatorSettings m_operators;
     PlatformSettings m_platform;
+    PeerSettings m_peers;
     StopSettings m_stop;
     LogSettings m_log;
 
@@ -75,10 +99,12 @@
 };
 
 /// Reads and checks settings in YAML.
-/// @param fileName name that stands in the findings
+/// @param fileName name that stands in the findings; relative names of files in the settings start from its folder
+/// @param now tells which certificates are valid
 /// @return the settings, or all findings in the order of their places
 /// Thread-safe.
-tl::expected<Settings, Findings> parseSettings(const std::string &text, const std::string &fileName);
+tl::expected<Settings, Findings>
+parseSettings(const std::string &text, const std::string &fileName, std::chrono::system_clock::time_point now = std::chrono::system_clock::now());
 
 /// Reads the file and calls parseSettings(). Thread-safe.
 tl::expected<Settings, Findings> loadSettings(const std::string &fileName);
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -96,7 +96,7 @@
     Runtime::configureLogging(settings->m_log);
     Runtime::Host host(*settings);
     host.start();
-    std::cout << "listening callers=" << host.callerAddress() << " operators=" << host.operatorAddress() << std::endl;
+    std::cout << "listening callers=" << host.callerAddress() << " operators=" << host.operatorAddress() << " peers=" << host.peerAddress() << std::endl;
     int received = 0;
     sigwait(&signals, &received);
     host.askToStop();
--- a/src/runtime/decisionduty.cpp
+++ b/src/runtime/decisionduty.cpp
@@ -28,12 +28,13 @@
     return m_inputs;
 }
 
-void DecisionDuty::connect(CallerFront &callers, BackendClient &backends, PlatformClient &platform, OperatorFront &operators)
+void DecisionDuty::connect(CallerFront &callers, BackendClient &backends, PlatformClient &platform, OperatorFront &operators, PeerStreams &peers)
 {
     m_callers = &callers;
     m_backends = &backends;
     m_platform = &platform;
     m_operators = &operators;
+    m_peers = &peers;
 }
 
 void DecisionDuty::start(std::function<void()> onExit)
@@ -118,7 +119,7 @@
             } else if constexpr (std::is_same_v<Type, Node::SetReadiness>) {
                 m_operators->setReady(typed.m_ready);
             } else if constexpr (std::is_same_v<Type, Node::SendPeer>) {
-                // Peer streams are not connected yet: the message is lost, which its sender must bear anyway.
+                m_peers->orders().push(typed); // A full ring counts the message as lost, which its sender must bear anyway.
             } else if constexpr (std::is_same_v<Type, Node::LogChange>) {
                 logChange(typed.m_text);
             } else {
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -10,11 +10,21 @@
 
 namespace {
 
-Node::NodeSettings nodeSettingsFrom(const Settings::Settings &settings)
+/// Returns a number that is higher than that of every earlier process of the host, as long as the clock wasn't set back in between.
+Membership::Incarnation newIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<Membership::Incarnation>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+Node::NodeSettings nodeSettingsFrom(const Settings::Settings &settings, const PeerListener &listener)
 {
     Node::NodeSettings node;
     node.m_host = settings.m_host.m_name;
     node.m_domain = settings.m_host.m_domain;
+    node.m_incarnation = newIncarnation();
+    node.m_peerAddress = listener.advertisedAddress();
+    node.m_seedAddresses = settings.m_peers.m_seeds;
     node.m_pollInterval = settings.m_platform.m_pollInterval;
     node.m_balancerLag = settings.m_stop.m_balancerLag;
     node.m_stopLimit = settings.m_stop.m_limit;
@@ -33,13 +43,16 @@
 {
 public:
     explicit Implementation(const Settings::Settings &settings)
-        : m_decisions(nodeSettingsFrom(settings), randomSeed())
+        : m_listener(settings.m_peers)
+        , m_nodeSettings(nodeSettingsFrom(settings, m_listener))
+        , m_decisions(m_nodeSettings, randomSeed())
         , m_callers(settings.m_callers, m_decisions.inputs(), [this](Node::AttemptId attempt) { m_decisions.onSpace(attempt); })
         , m_backends(m_decisions.inputs(), [this](Node::AttemptId attempt) { m_decisions.onBytes(attempt); })
         , m_platform(settings.m_platform, m_decisions.inputs())
         , m_operators(settings.m_operators, m_decisions.inputs())
+        , m_peers(settings.m_peers, m_listener, settings.m_host.m_name, m_nodeSettings.m_incarnation, m_decisions.inputs())
     {
-        m_decisions.connect(m_callers, m_backends, m_platform, m_operators);
+        m_decisions.connect(m_callers, m_backends, m_platform, m_operators, m_peers);
     }
 
     void start()
@@ -48,6 +61,7 @@
         m_operators.start();
         m_backends.start();
         m_platform.start();
+        m_peers.start();
         m_decisions.start([this] { m_stopped.set_value(); });
     }
 
@@ -63,6 +77,7 @@
         m_operators.stop();
         m_backends.stop();
         m_platform.stop();
+        m_peers.stop();
         m_decisions.stop();
     }
 
@@ -76,12 +91,25 @@
         return m_operators.address();
     }
 
+    [[nodiscard]] const std::string &peerAddress() const
+    {
+        return m_listener.advertisedAddress();
+    }
+
+    [[nodiscard]] Reporting::Counters counters() const
+    {
+        return m_peers.counters();
+    }
+
 private:
+    PeerListener m_listener;
+    Node::NodeSettings m_nodeSettings;
     DecisionDuty m_decisions;
     CallerFront m_callers;
     BackendClient m_backends;
     PlatformClient m_platform;
     OperatorFront m_operators;
+    PeerStreams m_peers;
     std::promise<void> m_stopped;
 };
 
@@ -118,4 +146,14 @@
     return m_implementation->operatorAddress();
 }
 
+std::string Host::peerAddress() const
+{
+    return m_implementation->peerAddress();
+}
+
+Reporting::Counters Host::counters() const
+{
+    return m_implementation->counters();
+}
+
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,3 +1,4 @@
+#include <ragwortrelay/detail/settings/sections.h>
 #include <ragwortrelay/detail/settings/yamlreader.h>
 #include <ragwortrelay/settings/settings.h>
 
@@ -77,7 +78,7 @@
 
 }
 
-tl::expected<Settings, Findings> parseSettings(const std::string &text, const std::string &fileName)
+tl::expected<Settings, Findings> parseSettings(const std::string &text, const std::string &fileName, std::chrono::system_clock::time_point now)
 {
     Findings findings;
     Settings settings;
@@ -87,6 +88,7 @@
         settings.m_callers = readCallers(root.section("callers", Presence::Required));
         settings.m_operators = readOperators(root.section("operators", Presence::Required));
         settings.m_platform = readPlatform(root.section("platform", Presence::Required));
+        settings.m_peers = detail::readPeers(root.section("peers", Presence::Required), now);
         settings.m_stop = readStop(root.section("stop", Presence::Optional));
         settings.m_log = readLog(root.section("log", Presence::Optional));
         root.reportUnknownKeys();
--- a/src/settings/yamlreader.cpp
+++ b/src/settings/yamlreader.cpp
@@ -4,6 +4,8 @@
 #include <arpa/inet.h>
 #include <array>
 #include <charconv>
+#include <filesystem>
+#include <fstream>
 #include <map>
 #include <numeric>
 
@@ -57,12 +59,12 @@
     if (colon == std::string::npos || !isPort(text.substr(colon + 1))) {
         return false;
     }
-    std::string ip = text.substr(0, colon);
+    const std::string ip = text.substr(0, colon);
+    std::array<unsigned char, sizeof(in6_addr)> buffer{};
     if (ip.starts_with('[') && ip.ends_with(']')) {
-        ip = ip.substr(1, ip.size() - 2);
+        return inet_pton(AF_INET6, ip.substr(1, ip.size() - 2).c_str(), buffer.data()) == 1;
     }
-    std::array<unsigned char, sizeof(in6_addr)> buffer{};
-    return inet_pton(AF_INET, ip.c_str(), buffer.data()) == 1 || inet_pton(AF_INET6, ip.c_str(), buffer.data()) == 1;
+    return inet_pton(AF_INET, ip.c_str(), buffer.data()) == 1;
 }
 
 }
@@ -146,10 +148,74 @@
     }
     if (!isAddress(value->Scalar())) {
         report(value->Mark(), ErrorId::SettingsBadAddress, "'" + value->Scalar() + "' is not of the form IP:PORT");
+        return {};
     }
     return value->Scalar();
 }
 
+std::vector<std::string> YamlReader::addresses(const std::string &key)
+{
+    m_known.insert(key);
+    const YAML::Node value = m_node.IsMap() ? m_node[key] : YAML::Node(YAML::NodeType::Undefined);
+    std::vector<std::string> addresses;
+    if (!value.IsDefined() || value.IsNull()) {
+        return addresses;
+    }
+    if (!value.IsSequence()) {
+        report(value.Mark(), ErrorId::SettingsWrongType, "'" + m_path + '.' + key + "' must be a list");
+        return addresses;
+    }
+    for (const YAML::Node &element : value) {
+        if (!element.IsScalar() || !isAddress(element.Scalar())) {
+            const std::string text = element.IsScalar() ? "'" + element.Scalar() + "'" : "the element";
+            report(element.Mark(), ErrorId::SettingsBadAddress, text + " is not of the form IP:PORT");
+            continue;
+        }
+        addresses.push_back(element.Scalar());
+    }
+    return addresses;
+}
+
+std::string YamlReader::file(const std::string &key, Presence presence)
+{
+    const auto value = scalar(key, presence);
+    if (!value) {
+        return {};
+    }
+    const std::filesystem::path path = std::filesystem::path(m_fileName).parent_path() / value->Scalar();
+    if (!std::ifstream(path) || std::filesystem::is_directory(path)) {
+        report(value->Mark(), ErrorId::SettingsMissingFile, "the file '" + path.string() + "' can't be read");
+        return {};
+    }
+    return path.string();
+}
+
+std::uint64_t YamlReader::count(const std::string &key, std::uint64_t fallback, std::uint64_t least, std::uint64_t most)
+{
+    const auto value = scalar(key, Presence::Optional);
+    if (!value) {
+        return fallback;
+    }
+    const std::string &text = value->Scalar();
+    std::uint64_t number = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (code == std::errc::invalid_argument || end != text.data() + text.size()) {
+        report(value->Mark(), ErrorId::SettingsWrongType, "'" + m_path + '.' + key + "' must be a whole number");
+        return fallback;
+    }
+    if (code != std::errc() || number < least || number > most) {
+        report(value->Mark(), ErrorId::SettingsOutOfRange, "'" + text + "' is out of the range " + std::to_string(least) + " to " + std::to_string(most));
+        return fallback;
+    }
+    return number;
+}
+
+void YamlReader::reportAt(const std::string &key, ErrorId id, const std::string &message)
+{
+    const YAML::Node value = m_node.IsMap() ? m_node[key] : YAML::Node(YAML::NodeType::Undefined);
+    report(value.IsDefined() ? value.Mark() : m_node.Mark(), id, message);
+}
+
 std::string YamlReader::url(const std::string &key, Presence presence)
 {
     const auto value = scalar(key, presence);
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -44,6 +44,27 @@
         return json.loads(request(self.address, "POST", path, body=body).body)
 
 
+class Authority:
+    """A certificate authority of one fleet, in a folder."""
+
+    def __init__(self, folder, name="fleet-authority"):
+        self.folder = folder
+        self.name = name
+        self.openssl("req", "-x509", *NEW_KEY, "-keyout", name + ".key", "-out", name + ".crt", "-days", "2", "-subj", "/CN=" + name)
+
+    def openssl(self, *arguments):
+        subprocess.run(["openssl", *arguments], cwd=self.folder, capture_output=True, check=True, timeout=60)
+
+    def issue(self, name):
+        """Makes NAME.key and NAME.crt."""
+        self.openssl("req", *NEW_KEY, "-keyout", name + ".key", "-out", name + ".csr", "-subj", "/CN=" + name)
+        signer = ["-CA", self.name + ".crt", "-CAkey", self.name + ".key", "-CAcreateserial"]
+        self.openssl("x509", "-req", "-in", name + ".csr", *signer, "-out", name + ".crt", "-days", "2")
+
+
+NEW_KEY = ["-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:prime256v1", "-nodes"]
+
+
 class Host(Process):
     """A host of the product."""
 
@@ -55,6 +76,7 @@
         addresses = dict(word.split("=") for word in self.first_line[1:])
         self.callers = addresses["callers"]
         self.operators = addresses["operators"]
+        self.peers = addresses["peers"]
 
     def ready(self):
         return request(self.operators, "GET", "/ragwortrelay/ready").status == 200
@@ -73,6 +95,12 @@
   objects-url: http://{platform}/objects
   targets-url: http://{platform}/targets
   poll-interval: 200ms
+peers:
+  listen: 127.0.0.1:0
+  advertise: 127.0.0.1:0
+  certificate: {name}.crt
+  key: {name}.key
+  authority: fleet-authority.crt
 stop:
   balancer-lag: 300ms
 """
@@ -123,6 +151,9 @@
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Server("platform")
         self.backends = [Server("backend", 4) for _ in range(backends)]
+        self.authority = Authority(self.folder.name)
+        for i in range(hosts):
+            self.authority.issue(f"h{i}")
         self.hosts = [Host(self.folder.name, f"h{i}", f"d{i % 3}", self.platform.address) for i in range(hosts)]
 
     def __enter__(self):
--- /dev/null
+++ b/tests/runtime/rawsocket.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <ragwortrelay/detail/runtime/socketaddress.h>
+
+#include <array>
+#include <poll.h>
+#include <stdexcept>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace RagwortRelay::Fakes {
+
+/// Blocking TCP connection that sends and receives raw bytes, with a generous time limit for each wait.
+class RawSocket
+{
+public:
+    static constexpr int WaitMilliseconds = 20000;
+
+    explicit RawSocket(const std::string &address)
+    {
+        const auto parsed = Runtime::detail::parseSocketAddress(address);
+        m_descriptor = socket(parsed->family(), SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (::connect(m_descriptor, reinterpret_cast<const sockaddr *>(&parsed->m_storage), parsed->m_size) != 0) {
+            close(m_descriptor);
+            throw std::runtime_error("can't connect to " + address);
+        }
+    }
+
+    /// Takes over a connected socket.
+    explicit RawSocket(int descriptor) : m_descriptor(descriptor)
+    {
+    }
+
+    ~RawSocket()
+    {
+        close(m_descriptor);
+    }
+
+    RawSocket(const RawSocket &) = delete;
+    RawSocket &operator=(const RawSocket &) = delete;
+
+    /// Sends all bytes; returns whether the other side still took them.
+    bool send(const std::string &bytes) const
+    {
+        std::size_t sent = 0;
+        while (sent < bytes.size()) {
+            const ssize_t size = ::send(m_descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            if (size <= 0) {
+                return false;
+            }
+            sent += static_cast<std::size_t>(size);
+        }
+        return true;
+    }
+
+    /// Ends the sending direction.
+    void endSending() const
+    {
+        shutdown(m_descriptor, SHUT_WR);
+    }
+
+    /// Receives some bytes; returns none when the other side closed or the time is up.
+    std::string receiveSome(int waitMilliseconds = WaitMilliseconds) const
+    {
+        pollfd descriptor{m_descriptor, POLLIN, 0};
+        if (poll(&descriptor, 1, waitMilliseconds) <= 0) {
+            return {};
+        }
+        std::array<char, 65536> buffer{};
+        const ssize_t size = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        return size <= 0 ? std::string() : std::string(buffer.data(), static_cast<std::size_t>(size));
+    }
+
+    /// Receives until the other side closes.
+    std::string receiveAll() const
+    {
+        std::string all;
+        for (std::string part = receiveSome(); !part.empty(); part = receiveSome()) {
+            all += part;
+        }
+        return all;
+    }
+
+    /// Receives until the text is there, or the other side closes.
+    std::string receiveUntil(const std::string &text) const
+    {
+        std::string all;
+        while (all.find(text) == std::string::npos) {
+            const std::string part = receiveSome();
+            if (part.empty()) {
+                break;
+            }
+            all += part;
+        }
+        return all;
+    }
+
+    [[nodiscard]] int descriptor() const
+    {
+        return m_descriptor;
+    }
+
+private:
+    int m_descriptor;
+};
+
+/// Listening socket on loopback with a port that the kernel chose.
+class RawListener
+{
+public:
+    RawListener() : m_descriptor(Runtime::detail::openListener("127.0.0.1:0"))
+    {
+    }
+
+    ~RawListener()
+    {
+        close(m_descriptor);
+    }
+
+    RawListener(const RawListener &) = delete;
+    RawListener &operator=(const RawListener &) = delete;
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(Runtime::detail::localPort(m_descriptor));
+    }
+
+    /// Waits for a connection; returns -1 when the time is up.
+    [[nodiscard]] int accept(int waitMilliseconds = RawSocket::WaitMilliseconds) const
+    {
+        pollfd descriptor{m_descriptor, POLLIN, 0};
+        return poll(&descriptor, 1, waitMilliseconds) > 0 ? ::accept4(m_descriptor, nullptr, nullptr, SOCK_CLOEXEC) : -1;
+    }
+
+private:
+    int m_descriptor;
+};
+
+}
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -19,6 +19,10 @@
   table-url: http://127.0.0.1:9000/table
   objects-url: http://127.0.0.1:9000/objects
   targets-url: http://127.0.0.1:9000/targets
+peers:
+  listen: 127.0.0.1:0
+  advertise: 127.0.0.1:0
+  security: none
 )";
 
 }
@@ -52,6 +56,7 @@
               == std::vector<std::string>{
                   "host.yaml:1:1: error RW0107: section 'operators' is missing",
                   "host.yaml:1:1: error RW0107: section 'platform' is missing",
+                  "host.yaml:1:1: error RW0107: section 'peers' is missing",
                   "host.yaml:2:3: error RW0107: 'host.failure-domain' is missing",
                   "host.yaml:3:3: error RW0102: unknown key 'failure-domian'; did you mean 'failure-domain'?",
                   "host.yaml:5:11: error RW0106: 'localhost:80' is not of the form IP:PORT",
