--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -37,6 +37,18 @@
 /// Forgets an attempt; returns it, or nothing when it is unknown.
 std::optional<Attempt> finishAttempt(Node &node, AttemptId id);
 
+/// Takes in the answer of a backend server to a running attempt, before the attempt is finished.
+void observeAnswer(Node &node, const AttemptAnswered &answer, TimePoint now);
+
+/// Places a request again that a backend server shed unrun. Precondition: the attempt was finished.
+void placeAgainAfterShed(Node &node, ExchangeId id, const ServerId &server, TimePoint now, Actions &actions);
+
+/// Gives the requests that wait for a slot their turns, and refuses those that can't be answered in time any more.
+void serveQueues(Node &node, TimePoint now, Actions &actions);
+
+/// Takes a request that its caller gave up out of its queue.
+void leaveQueue(Node &node, ExchangeId id, const Exchange &exchange);
+
 // Peers
 
 void onPeerSpoke(Node &node, const PeerSpoke &spoke, TimePoint now, Actions &actions);
@@ -54,6 +66,22 @@
 /// Appends the change of an edit to the chain, or answers what stands against it.
 void startEdit(Node &node, OperatorCallId call, const EditTable &edit, Actions &actions);
 
+// Service levels
+
+/// Notes what an event tells of the requests that run. Call before the event is handled.
+void observeEvent(Node &node, const Event &event, TimePoint now);
+
+/// Records the requests that were answered. Call after the event was handled.
+void observeActions(Node &node, const Actions &actions, TimePoint now);
+
+/// Stores the records of the present hour when the last time is long enough ago.
+void storeServiceLevels(Node &node, TimePoint now, Actions &actions);
+void onServiceLevelsStored(Node &node, const Platform::Result &result);
+
+/// Starts to read the records of all hosts for an operator.
+void startBurnReport(Node &node, OperatorCallId call, Actions &actions);
+void onServiceLevelsRead(Node &node, const PendingCall &call, const Platform::Result &result, Actions &actions);
+
 // Operators
 
 void onOperatorAsked(Node &node, const OperatorAsked &asked, Actions &actions);
