--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -36,8 +36,8 @@
 class Server(Process):
     """A stand-in on one address."""
 
-    def __init__(self, name, *arguments):
-        super().__init__([os.path.join(BUILD, "standins", "ragwortrelay_standin_" + name), "0", *map(str, arguments)])
+    def __init__(self, name, *arguments, port=0):
+        super().__init__([os.path.join(BUILD, "standins", "ragwortrelay_standin_" + name), str(port), *map(str, arguments)])
         self.address = self.first_line[1]
 
     def control(self, path, body=None):
