Run a request that isn't idempotent at most once over all hosts

Cause: nothing kept a booking that its caller sent again, or to another host, from running twice; the claim step was empty.

The library dispatch now has a ledger of claims on (workspace, idempotency key) in the platform's table: one conditional write before the first attempt, one for the result. A lost answer to a write is resolved by reading for the attempt's own id; a claim whose request was refused is blocked by a released record of a higher version, so that a write that takes effect late runs nothing and the key is free again. Finished answers are replayed. Writes of several requests share a transaction. Claims expire by epochs, which need no common clock.

Also: retries come from a budget for each service and stop while most attempts are shed; "not-run" of a backend server counts only on a 503; no refusal says "not-run" once an attempt may have run; a caller may give a shorter deadline; a claimed request runs on when its caller leaves, and its answer is kept.

--- a/include/ragwortrelay/core/error.h
+++ b/include/ragwortrelay/core/error.h
@@ -44,6 +44,7 @@
     RequestHostIsolated = 315,
     RequestClaimUnavailable = 316,
     RequestAlreadyRunning = 317,
+    RequestAnswerNotKept = 330,
     // 04xx: platform
     PlatformUnreachable = 401,
     PlatformBadAnswer = 402,
--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -7,10 +7,10 @@
 // Requests
 
 void onRequestArrived(Node &node, const RequestArrived &request, TimePoint now, Actions &actions);
-void onCallerGone(Node &node, const CallerGone &gone, Actions &actions);
+void onCallerGone(Node &node, const CallerGone &gone, TimePoint now, Actions &actions);
 void onAttemptAnswered(Node &node, const AttemptAnswered &answer, TimePoint now, Actions &actions);
 void onAttemptFailed(Node &node, const AttemptFailed &failure, TimePoint now, Actions &actions);
-void onAttemptEnded(Node &node, const AttemptEnded &ended);
+void onAttemptEnded(Node &node, const AttemptEnded &ended, TimePoint now, Actions &actions);
 
 /// Takes a request through its steps until one waits or the request is answered.
 void advance(Node &node, ExchangeId id, TimePoint now, Actions &actions);
@@ -18,7 +18,7 @@
 /// Advances all requests that wait.
 void advanceWaiting(Node &node, TimePoint now, Actions &actions);
 
-/// Answers the caller with a refusal.
+/// Answers the caller with a refusal. A request of which an attempt may have run is never told that it was not run.
 void refuse(Node &node, ExchangeId id, const Dispatch::Problem &problem, Actions &actions);
 
 // Steps of a request
@@ -32,6 +32,16 @@
 /// Starts an attempt at a backend server that wasn't tried yet.
 Progress placeExchange(Node &node, ExchangeId id, Exchange &exchange, TimePoint now, Actions &actions);
 
+// Claims
+
+/// Settles the claim of a request, if it has one.
+void settleExchange(Node &node, ExchangeId id, const Exchange &exchange, const Dispatch::ClaimResult &result, TimePoint now, Actions &actions);
+void onClaimAnswered(Node &node, const PendingCall &call, const Platform::Result &result, TimePoint now, Actions &actions);
+void tickClaims(Node &node, TimePoint now, Actions &actions);
+
+/// Carries on with the requests whose claims were decided.
+void performClaimVerdicts(Node &node, TimePoint now, Actions &actions);
+
 // Attempts
 
 /// Forgets an attempt; returns it, or nothing when it is unknown.
--- a/include/ragwortrelay/node/action.h
+++ b/include/ragwortrelay/node/action.h
@@ -35,6 +35,14 @@
     friend bool operator==(const ForwardAnswer &, const ForwardAnswer &) = default;
 };
 
+/// Gives the caller the stored answer of an earlier request with the same idempotency key.
+struct ReplayAnswer {
+    ExchangeId m_exchange = 0;
+    Dispatch::StoredAnswer m_answer;
+
+    friend bool operator==(const ReplayAnswer &, const ReplayAnswer &) = default;
+};
+
 /// Answers the caller with a refusal of the proxy.
 struct AnswerProblem {
     ExchangeId m_exchange = 0;
@@ -134,7 +142,8 @@
     friend bool operator==(const Exit &, const Exit &) = default;
 };
 
-using Action = std::variant<StartAttempt, CancelAttempt, ForwardAnswer, AnswerProblem, CallPlatform, SendPeer, AnswerOperator, SetReadiness, LogChange, Exit>;
+using Action = std::
+    variant<StartAttempt, CancelAttempt, ForwardAnswer, ReplayAnswer, AnswerProblem, CallPlatform, SendPeer, AnswerOperator, SetReadiness, LogChange, Exit>;
 
 using Actions = std::vector<Action>;
 
--- a/include/ragwortrelay/node/event.h
+++ b/include/ragwortrelay/node/event.h
@@ -3,6 +3,7 @@
 #include <ragwortrelay/configuration/table.h>
 #include <ragwortrelay/core/identifier.h>
 #include <ragwortrelay/core/time.h>
+#include <ragwortrelay/dispatch/answer.h>
 #include <ragwortrelay/dispatch/outcome.h>
 #include <ragwortrelay/node/peermessage.h>
 #include <ragwortrelay/platform/table.h>
@@ -36,6 +37,7 @@
     std::string m_authorization; ///< Value of the header, empty for none.
     std::string m_idempotencyKey; ///< Value of the header, empty for none.
     std::string m_bodyDigest; ///< Lower-case hexadecimal SHA-256 of the body.
+    std::optional<Duration> m_callerDeadline; ///< That the caller gives the request, shorter than the route's.
 
     friend bool operator==(const RequestArrived &, const RequestArrived &) = default;
 };
@@ -62,6 +64,7 @@
     bool m_whole = false;
     bool m_notRun = false; ///< The server says that it shed the request unrun.
     std::optional<LoadReport> m_load;
+    std::optional<Dispatch::StoredAnswer> m_stored; ///< Whole answer to a request that isn't idempotent, unless it is too large to be kept.
 
     friend bool operator==(const AttemptAnswered &, const AttemptAnswered &) = default;
 };
--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -3,6 +3,8 @@
 #include <ragwortrelay/balancing/balancer.h>
 #include <ragwortrelay/configuration/catalogue.h>
 #include <ragwortrelay/core/random.h>
+#include <ragwortrelay/dispatch/claimledger.h>
+#include <ragwortrelay/dispatch/retrybudget.h>
 #include <ragwortrelay/limits/tokenbucket.h>
 #include <ragwortrelay/node/action.h>
 #include <ragwortrelay/node/event.h>
@@ -25,6 +27,8 @@
     Duration m_balancerLag{std::chrono::seconds(2)}; ///< After failing readiness, until the balancer sends nothing more.
     Duration m_stopLimit{std::chrono::seconds(30)}; ///< Longest wait for requests in flight on stopping.
     std::uint32_t m_attemptsAtMost = 3;
+    Dispatch::ClaimSettings m_claims; ///< The owner is set by makeNode().
+    Dispatch::RetrySettings m_retries;
 
     friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
 };
@@ -44,6 +48,13 @@
     Ended, ///< The request was answered.
 };
 
+/// How far the claim of a request on its idempotency key has come.
+enum class ClaimUse : std::uint8_t {
+    None,
+    Waiting,
+    Held,
+};
+
 /// A request that this host answers.
 struct Exchange {
     Stage m_stage = Stage::Admit;
@@ -54,6 +65,10 @@
     AttemptId m_attempt = 0; ///< The one that may answer the caller.
     std::uint32_t m_attempts = 0;
     std::set<ServerId> m_tried;
+    ClaimUse m_claim = ClaimUse::None;
+    bool m_mayHaveRun = false; ///< An attempt that ended may have run it.
+    bool m_forwarded = false; ///< The caller gets the answer of the attempt.
+    bool m_callerGone = false; ///< It runs on for its claim's sake.
 };
 
 /// An attempt that runs.
@@ -67,6 +82,7 @@
 enum class PlatformPurpose : std::uint8_t {
     PollChanges,
     AppendChange,
+    Claim,
 };
 
 /// A call to the platform that runs.
@@ -75,6 +91,7 @@
     OperatorCallId m_operatorCall = 0;
     EditTable m_edit; ///< Of AppendChange.
     Configuration::Change m_change; ///< Of AppendChange.
+    Dispatch::ClaimCallId m_claimCall = 0; ///< Of Claim.
 };
 
 /// State of one host. The present time and all input reach it as arguments of handle().
@@ -91,6 +108,9 @@
     std::map<OperatorCallId, EditTable> m_waitingEdits; ///< To be tried again after the next poll.
     std::set<ExchangeId> m_waitingExchanges; ///< To be advanced with the next tick.
     Reporting::Counters m_counters;
+    Dispatch::ClaimLedger m_claims;
+    std::vector<Dispatch::ClaimVerdict> m_claimVerdicts; ///< To be performed before the present event is done.
+    std::map<ServiceId, Dispatch::RetryBudget> m_retryBudgets;
     AttemptId m_lastAttempt = 0;
     PlatformCallId m_lastCall = 0;
     std::optional<TimePoint> m_polledAt;
--- a/include/ragwortrelay/runtime/decisionduty.h
+++ b/include/ragwortrelay/runtime/decisionduty.h
@@ -57,6 +57,7 @@
     void perform(const Node::Action &action);
     void startAttempt(const Node::StartAttempt &start);
     void forwardAnswer(const Node::ForwardAnswer &forward);
+    void replayAnswer(const Node::ReplayAnswer &replay);
     void answerProblem(const Node::AnswerProblem &answer);
     void flush();
 
--- /dev/null
+++ b/src/dispatch/claimrecord.cpp
@@ -0,0 +1,145 @@
+#include <ragwortrelay/core/digest.h>
+#include <ragwortrelay/core/hash.h>
+#include <ragwortrelay/dispatch/claimrecord.h>
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include <cstdio>
+#include <stdexcept>
+
+namespace RagwortRelay::Dispatch {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t BlockBytes = 3; // bytes that four base64 digits stand for
+constexpr std::size_t BlockDigits = 4;
+
+std::string encodeBase64(const std::string &bytes)
+{
+    std::string text((bytes.size() + BlockBytes - 1) / BlockBytes * BlockDigits + 1, '\0');
+    const int size =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+std::string decodeBase64(const std::string &text)
+{
+    std::string bytes(text.size() / BlockDigits * BlockBytes, '\0');
+    const int size =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
+    if (size < 0 || static_cast<std::size_t>(size) != bytes.size()) {
+        throw std::runtime_error("not base64");
+    }
+    const std::size_t lastDigit = text.find_last_not_of('=');
+    const std::size_t padding = text.empty() ? 0 : text.size() - 1 - lastDigit;
+    bytes.resize(bytes.size() - padding);
+    return bytes;
+}
+
+Json encodeAnswer(const StoredAnswer &answer)
+{
+    Json headers = Json::array();
+    for (const AnswerHeader &header : answer.m_headers) {
+        headers.push_back(Json::array({encodeBase64(header.m_name), encodeBase64(header.m_value)}));
+    }
+    return Json{{"status", answer.m_status}, {"headers", headers}, {"body", encodeBase64(answer.m_body)}};
+}
+
+StoredAnswer decodeAnswer(const Json &json)
+{
+    StoredAnswer answer;
+    answer.m_status = json.at("status").get<std::uint16_t>();
+    for (const Json &header : json.at("headers")) {
+        answer.m_headers.push_back({decodeBase64(header.at(0).get<std::string>()), decodeBase64(header.at(1).get<std::string>())});
+    }
+    answer.m_body = decodeBase64(json.at("body").get<std::string>());
+    return answer;
+}
+
+std::string nameOf(ClaimState state)
+{
+    switch (state) {
+    case ClaimState::Running:
+        return "running";
+    case ClaimState::Done:
+        return "done";
+    case ClaimState::Unknown:
+        return "unknown";
+    case ClaimState::Released:
+        return "released";
+    }
+    return "";
+}
+
+ClaimState stateFrom(const std::string &name)
+{
+    for (const ClaimState state : {ClaimState::Running, ClaimState::Done, ClaimState::Unknown, ClaimState::Released}) {
+        if (nameOf(state) == name) {
+            return state;
+        }
+    }
+    throw std::runtime_error("unknown state");
+}
+
+/// Joins texts so that different lists give different results.
+std::string joined(std::initializer_list<std::string> texts)
+{
+    std::string result;
+    for (const std::string &text : texts) {
+        result += std::to_string(text.size()) + ':' + text;
+    }
+    return result;
+}
+
+}
+
+std::string claimPartition(std::uint64_t number)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "claims/%02llx", static_cast<unsigned long long>(number));
+    return text;
+}
+
+Platform::ItemKey claimKey(const WorkspaceId &workspace, const std::string &idempotencyKey)
+{
+    const std::string digest = sha256(joined({workspace.text(), idempotencyKey}));
+    return {claimPartition(hashOf(digest) % ClaimPartitions), digest};
+}
+
+std::string fingerprintOf(const WorkspaceId &workspace, const std::string &method, const std::string &target, const std::string &bodyDigest)
+{
+    return sha256(joined({workspace.text(), method, target, bodyDigest}));
+}
+
+std::string encodeClaim(const ClaimRecord &record)
+{
+    Json json{{"state", nameOf(record.m_state)}, {"attempt", record.m_attempt}, {"request", record.m_fingerprint}, {"epoch", record.m_epoch}};
+    if (record.m_answer) {
+        json["answer"] = encodeAnswer(*record.m_answer);
+    }
+    return json.dump();
+}
+
+tl::expected<ClaimRecord, Error> decodeClaim(const std::string &body)
+{
+    try {
+        const Json json = Json::parse(body);
+        ClaimRecord record;
+        record.m_state = stateFrom(json.at("state").get<std::string>());
+        record.m_attempt = json.at("attempt").get<std::string>();
+        record.m_fingerprint = json.at("request").get<std::string>();
+        record.m_epoch = json.at("epoch").get<std::uint64_t>();
+        if (json.contains("answer")) {
+            record.m_answer = decodeAnswer(json["answer"]);
+        }
+        return record;
+    } catch (const std::exception &exception) {
+        return tl::unexpected(Error{ErrorId::PlatformBadAnswer, std::string("unreadable claim: ") + exception.what()});
+    }
+}
+
+}
--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -28,6 +28,8 @@
         return onChangesRead(node, answer.m_result, now, actions);
     case PlatformPurpose::AppendChange:
         return onChangeAppended(node, call, answer.m_result, now, actions);
+    case PlatformPurpose::Claim:
+        return onClaimAnswered(node, call, answer.m_result, now, actions);
     }
 }
 
@@ -55,7 +57,7 @@
         return;
     }
     const Duration stoppingFor = now - *node.m_stopAskedAt;
-    const bool isIdle = stoppingFor >= node.m_settings.m_balancerLag && node.m_exchanges.empty();
+    const bool isIdle = stoppingFor >= node.m_settings.m_balancerLag && node.m_exchanges.empty() && node.m_claims.m_claims.empty();
     if (isIdle || stoppingFor >= node.m_settings.m_stopLimit) {
         node.m_exited = true;
         actions.push_back(Exit{});
@@ -66,6 +68,7 @@
 {
     pollConfiguration(node, now, actions);
     tickMembership(node, now, actions);
+    tickClaims(node, now, actions);
     advanceWaiting(node, now, actions);
     setReadiness(node, node.m_polledAt.has_value() && node.m_table.m_version > 0 && !node.m_stopAskedAt, actions);
     stopWhenIdle(node, now, actions);
@@ -80,6 +83,8 @@
     Node node;
     node.m_settings = settings;
     node.m_random.seed(seed);
+    node.m_claims.m_settings = settings.m_claims;
+    node.m_claims.m_settings.m_owner = settings.m_host.text() + '/' + std::to_string(settings.m_incarnation) + '/' + std::to_string(node.m_random());
     return node;
 }
 
@@ -92,13 +97,13 @@
             if constexpr (std::is_same_v<Type, RequestArrived>) {
                 detail::onRequestArrived(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, CallerGone>) {
-                detail::onCallerGone(node, typed, actions);
+                detail::onCallerGone(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, AttemptAnswered>) {
                 detail::onAttemptAnswered(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, AttemptFailed>) {
                 detail::onAttemptFailed(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, AttemptEnded>) {
-                detail::onAttemptEnded(node, typed);
+                detail::onAttemptEnded(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, PlatformAnswered>) {
                 detail::onPlatformAnswered(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, PeerSpoke>) {
@@ -112,6 +117,7 @@
             }
         },
         event);
+    detail::performClaimVerdicts(node, now, actions);
     return actions;
 }
 
--- a/src/node/requests.cpp
+++ b/src/node/requests.cpp
@@ -1,25 +1,78 @@
 #include <ragwortrelay/detail/node/duties.h>
 #include <ragwortrelay/workspaces/authentication.h>
 
+#include <algorithm>
+
 namespace RagwortRelay::Node::detail {
 
 namespace {
 
 using Dispatch::AttemptFailure;
+using Dispatch::ClaimState;
 using Dispatch::Outcome;
 using Dispatch::Problem;
 
 constexpr std::uint16_t HttpBadRequest = 400;
 constexpr std::uint16_t HttpUnauthorized = 401;
 constexpr std::uint16_t HttpNotFound = 404;
+constexpr std::uint16_t HttpInternalError = 500;
 constexpr std::uint16_t HttpBadGateway = 502;
 constexpr std::uint16_t HttpServiceUnavailable = 503;
 constexpr std::uint16_t HttpGatewayTimeout = 504;
 
-bool mayRetry(const Node &node, const Exchange &exchange, bool wasRun, TimePoint now)
+Dispatch::RetryBudget &budgetOf(Node &node, const Exchange &exchange)
+{
+    return node.m_retryBudgets[exchange.m_route.m_service];
+}
+
+/// Tells whether a request may be run once more, and takes the retry from the budget of its service.
+/// @param mayHaveRun the attempt that has ended may have run it
+bool takeRetry(Node &node, const Exchange &exchange, bool mayHaveRun, TimePoint now)
+{
+    const bool isSafe = exchange.m_route.m_idempotent || !mayHaveRun;
+    const bool isWanted = !exchange.m_callerGone && exchange.m_attempts < node.m_settings.m_attemptsAtMost && now < exchange.m_deadline;
+    if (!isSafe || !isWanted) {
+        return false;
+    }
+    Dispatch::RetryBudget &budget = budgetOf(node, exchange);
+    if (!Dispatch::allowsRetry(budget, node.m_settings.m_retries)) {
+        Reporting::count(node.m_counters, "retries_refused{service=\"" + exchange.m_route.m_service.text() + "\"}");
+        return false;
+    }
+    budget = Dispatch::afterRetry(budget);
+    Reporting::count(node.m_counters, "retries{service=\"" + exchange.m_route.m_service.text() + "\"}");
+    return true;
+}
+
+void noteAttempt(Node &node, const Exchange &exchange, bool shed)
+{
+    Dispatch::RetryBudget &budget = budgetOf(node, exchange);
+    if (exchange.m_attempts == 1) {
+        budget = Dispatch::afterFirstAttempt(budget, node.m_settings.m_retries);
+    }
+    budget = Dispatch::afterAttempt(budget, node.m_settings.m_retries, shed);
+}
+
+/// Starts the next attempt of a request.
+void placeAgain(Node &node, ExchangeId id, TimePoint now, Actions &actions)
+{
+    node.m_exchanges.at(id).m_stage = Stage::Place;
+    advance(node, id, now, actions);
+}
+
+/// Forgets a request and settles its claim.
+void endExchange(Node &node, ExchangeId id, const Dispatch::ClaimResult &result, TimePoint now, Actions &actions)
+{
+    const auto found = node.m_exchanges.find(id);
+    settleExchange(node, id, found->second, result, now, actions);
+    node.m_exchanges.erase(found);
+    node.m_waitingExchanges.erase(id);
+}
+
+/// Returns how a claim ends whose request was refused.
+Dispatch::ClaimResult resultOfRefusal(const Exchange &exchange)
 {
-    const bool isSafe = exchange.m_route.m_idempotent || !wasRun;
-    return isSafe && exchange.m_attempts < node.m_settings.m_attemptsAtMost && now < exchange.m_deadline;
+    return {exchange.m_mayHaveRun ? ClaimState::Unknown : ClaimState::Released, {}};
 }
 
 Problem problemOf(const AttemptFailed &failure, bool mayHaveRun)
@@ -32,19 +85,62 @@
     return problem;
 }
 
+/// Tells whether another backend server may do better after an answer with this status.
+bool isServerFailure(std::uint16_t status)
+{
+    return status == HttpInternalError || status == HttpBadGateway || status == HttpServiceUnavailable || status == HttpGatewayTimeout;
+}
+
+/// Takes in an answer by which the backend server shed the request unrun.
+void onShed(Node &node, ExchangeId id, AttemptId attempt, TimePoint now, Actions &actions)
+{
+    finishAttempt(node, attempt);
+    actions.push_back(CancelAttempt{attempt});
+    const Exchange &exchange = node.m_exchanges.at(id);
+    if (takeRetry(node, exchange, false, now)) {
+        return placeAgain(node, id, now, actions);
+    }
+    refuse(node, id, {HttpServiceUnavailable, ErrorId::RequestOverload, Outcome::NotRun, "the backend servers are overloaded", {}}, actions);
+    endExchange(node, id, resultOfRefusal(exchange), now, actions);
+}
+
+/// Takes in the answer to a request whose caller is gone, for its claim.
+void onAnsweredToNobody(Node &node, ExchangeId id, const AttemptAnswered &answer, TimePoint now, Actions &actions)
+{
+    finishAttempt(node, answer.m_attempt);
+    actions.push_back(CancelAttempt{answer.m_attempt});
+    endExchange(node, id, {answer.m_whole ? ClaimState::Done : ClaimState::Unknown, answer.m_stored}, now, actions);
+}
+
+TimePoint deadlineOf(const RequestArrived &request, const Configuration::Route &route, TimePoint now)
+{
+    return now + std::min(route.m_deadline, request.m_callerDeadline.value_or(route.m_deadline));
+}
+
 }
 
 void refuse(Node &node, ExchangeId id, const Problem &problem, Actions &actions)
 {
-    Reporting::count(node.m_counters, "requests_refused{id=\"" + toString(problem.m_id) + "\"}");
-    actions.push_back(AnswerProblem{id, problem});
+    Problem exact = problem;
+    const auto exchange = node.m_exchanges.find(id);
+    if (exchange != node.m_exchanges.end() && exchange->second.m_mayHaveRun) {
+        exact.m_outcome = Outcome::Unknown;
+    }
+    Reporting::count(node.m_counters, "requests_refused{id=\"" + toString(exact.m_id) + "\",outcome=\"" + Dispatch::toString(exact.m_outcome) + "\"}");
+    actions.push_back(AnswerProblem{id, exact});
 }
 
 void advance(Node &node, ExchangeId id, TimePoint now, Actions &actions)
 {
     Exchange &exchange = node.m_exchanges.at(id);
     node.m_waitingExchanges.erase(id);
+    // A request whose claim is being decided gets its verdict at the deadline.
+    const bool isLate = now >= exchange.m_deadline && exchange.m_claim != ClaimUse::Waiting && exchange.m_stage != Stage::Run;
     Progress progress = Progress::Continue;
+    if (isLate) {
+        refuse(node, id, {HttpGatewayTimeout, ErrorId::RequestDeadlineExceeded, Outcome::NotRun, "the deadline is over", {}}, actions);
+        progress = Progress::Ended;
+    }
     while (progress == Progress::Continue && exchange.m_stage != Stage::Run) {
         switch (exchange.m_stage) {
         case Stage::Admit:
@@ -66,7 +162,7 @@
     if (progress == Progress::Wait) {
         node.m_waitingExchanges.insert(id);
     } else if (progress == Progress::Ended) {
-        node.m_exchanges.erase(id);
+        endExchange(node, id, resultOfRefusal(exchange), now, actions);
     }
 }
 
@@ -92,7 +188,7 @@
     Exchange exchange;
     exchange.m_request = request;
     exchange.m_route = *route;
-    exchange.m_deadline = now + route->m_deadline;
+    exchange.m_deadline = deadlineOf(request, *route, now);
     if (!route->m_open) {
         const auto key = Workspaces::parseBearer(request.m_authorization);
         const auto workspace = key ? Workspaces::authenticate(node.m_catalogue, *key) : std::nullopt;
@@ -109,18 +205,23 @@
     advance(node, id, now, actions);
 }
 
-void onCallerGone(Node &node, const CallerGone &gone, Actions &actions)
+void onCallerGone(Node &node, const CallerGone &gone, TimePoint now, Actions &actions)
 {
-    const auto exchange = node.m_exchanges.find(gone.m_exchange);
-    if (exchange == node.m_exchanges.end()) {
+    const auto found = node.m_exchanges.find(gone.m_exchange);
+    if (found == node.m_exchanges.end()) {
+        return;
+    }
+    Exchange &exchange = found->second;
+    const bool runsOn = exchange.m_stage == Stage::Run && exchange.m_claim == ClaimUse::Held && !exchange.m_forwarded;
+    if (runsOn) {
+        exchange.m_callerGone = true; // Its answer is kept for the caller's next request with the key.
         return;
     }
-    const AttemptId attempt = exchange->second.m_attempt;
-    node.m_exchanges.erase(exchange);
-    node.m_waitingExchanges.erase(gone.m_exchange);
-    if (finishAttempt(node, attempt)) {
-        actions.push_back(CancelAttempt{attempt});
+    if (finishAttempt(node, exchange.m_attempt)) {
+        exchange.m_mayHaveRun = true;
+        actions.push_back(CancelAttempt{exchange.m_attempt});
     }
+    endExchange(node, gone.m_exchange, resultOfRefusal(exchange), now, actions);
 }
 
 void onAttemptAnswered(Node &node, const AttemptAnswered &answer, TimePoint now, Actions &actions)
@@ -131,17 +232,24 @@
     }
     const ExchangeId id = running->second.m_exchange;
     Exchange &exchange = node.m_exchanges.at(id);
-    const bool mayRun = !answer.m_notRun;
-    if (answer.m_notRun && mayRetry(node, exchange, mayRun, now)) {
+    noteAttempt(node, exchange, answer.m_notRun);
+    if (answer.m_notRun) {
+        return onShed(node, id, answer.m_attempt, now, actions);
+    }
+    exchange.m_mayHaveRun = true;
+    if (exchange.m_callerGone) {
+        return onAnsweredToNobody(node, id, answer, now, actions);
+    }
+    if (isServerFailure(answer.m_status) && takeRetry(node, exchange, true, now)) {
         finishAttempt(node, answer.m_attempt);
         actions.push_back(CancelAttempt{answer.m_attempt});
-        exchange.m_stage = Stage::Place;
-        return advance(node, id, now, actions);
+        return placeAgain(node, id, now, actions);
     }
+    exchange.m_forwarded = true;
     actions.push_back(ForwardAnswer{id, answer.m_attempt});
     if (answer.m_whole) {
         finishAttempt(node, answer.m_attempt);
-        node.m_exchanges.erase(id);
+        endExchange(node, id, {ClaimState::Done, answer.m_stored}, now, actions);
     }
 }
 
@@ -153,19 +261,20 @@
     }
     const ExchangeId id = attempt->m_exchange;
     Exchange &exchange = node.m_exchanges.at(id);
-    if (mayRetry(node, exchange, failure.m_sent, now)) {
-        exchange.m_stage = Stage::Place;
-        return advance(node, id, now, actions);
+    noteAttempt(node, exchange, false);
+    exchange.m_mayHaveRun = exchange.m_mayHaveRun || failure.m_sent;
+    if (takeRetry(node, exchange, failure.m_sent, now)) {
+        return placeAgain(node, id, now, actions);
     }
-    node.m_exchanges.erase(id);
-    refuse(node, id, problemOf(failure, failure.m_sent), actions);
+    refuse(node, id, problemOf(failure, exchange.m_mayHaveRun), actions);
+    endExchange(node, id, resultOfRefusal(exchange), now, actions);
 }
 
-void onAttemptEnded(Node &node, const AttemptEnded &ended)
+void onAttemptEnded(Node &node, const AttemptEnded &ended, TimePoint now, Actions &actions)
 {
     const auto attempt = finishAttempt(node, ended.m_attempt);
     if (attempt) {
-        node.m_exchanges.erase(attempt->m_exchange);
+        endExchange(node, attempt->m_exchange, {ended.m_whole ? ClaimState::Done : ClaimState::Unknown, {}}, now, actions);
     }
 }
 
--- a/src/runtime/backendclient.cpp
+++ b/src/runtime/backendclient.cpp
@@ -18,6 +18,7 @@
 
 using Dispatch::AttemptFailure;
 
+constexpr std::uint16_t HttpServiceUnavailable = 503;
 constexpr long ConnectTimeoutMilliseconds = 1000;
 constexpr const char *DeadlineHeader = "Ragwortrelay-Deadline-Ms: ";
 constexpr const char *LoadHeader = "endpoint-load-metrics";
@@ -31,10 +32,11 @@
     DecisionRing *m_decisions = nullptr;
     const std::function<void(Node::AttemptId)> *m_onBytes = nullptr;
     Headers m_answerHeaders;
+    std::string m_keptBody; ///< Of the answer to a request that isn't idempotent, up to LargestStoredAnswer.
     bool m_sent = false;
     bool m_answered = false;
     bool m_paused = false;
-    bool m_notRun = false;
+    bool m_saysNotRun = false;
     std::optional<Node::LoadReport> m_load;
 
     Transfer() = default;
@@ -69,6 +71,12 @@
     return load;
 }
 
+/// Tells whether an answer's header speaks to the proxy and must not reach the caller.
+bool isForTheProxy(const std::string &name)
+{
+    return sameName(name, "Content-Length") || sameName(name, LoadHeader) || sameName(name, OutcomeHeader);
+}
+
 void publishHead(Transfer &transfer)
 {
     AnswerStream &stream = *transfer.m_order.m_stream;
@@ -79,15 +87,37 @@
     stream.m_status = static_cast<std::uint16_t>(status);
     stream.m_contentLength = length;
     stream.m_headers = endToEndHeaders(transfer.m_answerHeaders);
-    std::erase_if(stream.m_headers, [](const Header &header) { return sameName(header.m_name, "Content-Length") || sameName(header.m_name, LoadHeader); });
+    std::erase_if(stream.m_headers, [](const Header &header) { return isForTheProxy(header.m_name); });
+}
+
+/// Returns the answer as it may be replayed, unless it is too large. Precondition: the answer is whole, its head is published.
+std::optional<Dispatch::StoredAnswer> storedAnswerOf(const Transfer &transfer)
+{
+    const AnswerStream &stream = *transfer.m_order.m_stream;
+    Dispatch::StoredAnswer stored{stream.m_status, {}, transfer.m_keptBody};
+    std::size_t size = stored.m_body.size();
+    for (const Header &header : stream.m_headers) {
+        size += header.m_name.size() + header.m_value.size();
+        stored.m_headers.push_back({header.m_name, header.m_value});
+    }
+    if (transfer.m_order.m_idempotent || size > Dispatch::LargestStoredAnswer) {
+        return std::nullopt;
+    }
+    return stored;
 }
 
 void reportAnswer(Transfer &transfer, bool whole)
 {
     publishHead(transfer);
     transfer.m_answered = true;
-    pushWaiting(*transfer.m_decisions,
-                Node::AttemptAnswered{transfer.m_order.m_attempt, transfer.m_order.m_stream->m_status, whole, transfer.m_notRun, transfer.m_load});
+    Node::AttemptAnswered event;
+    event.m_attempt = transfer.m_order.m_attempt;
+    event.m_status = transfer.m_order.m_stream->m_status;
+    event.m_whole = whole;
+    event.m_notRun = transfer.m_saysNotRun && event.m_status == HttpServiceUnavailable;
+    event.m_load = transfer.m_load;
+    event.m_stored = whole ? storedAnswerOf(transfer) : std::nullopt;
+    pushWaiting(*transfer.m_decisions, event);
 }
 
 void wakeReader(const Transfer &transfer)
@@ -104,6 +134,7 @@
     line.erase(line.find_last_not_of("\r\n") + 1);
     if (line.starts_with("HTTP/")) {
         transfer->m_answerHeaders.clear(); // An interim answer came before.
+        transfer->m_saysNotRun = false;
         return size;
     }
     const std::size_t colon = line.find(':');
@@ -117,7 +148,7 @@
         transfer->m_load = loadReportFrom(value);
     }
     if (sameName(name, OutcomeHeader)) {
-        transfer->m_notRun = value == "not-run";
+        transfer->m_saysNotRun = value == "not-run";
     }
     transfer->m_answerHeaders.push_back({name, value});
     return size;
@@ -139,6 +170,10 @@
         stream.m_writerWaits.store(false);
     }
     stream.m_body.push(data, size);
+    const bool isKept = !transfer->m_order.m_idempotent && transfer->m_keptBody.size() <= Dispatch::LargestStoredAnswer;
+    if (isKept) {
+        transfer->m_keptBody.append(data, size); // One piece past the limit tells that it was too large.
+    }
     wakeReader(*transfer);
     return size;
 }
--- a/src/runtime/callerfront.cpp
+++ b/src/runtime/callerfront.cpp
@@ -1,12 +1,11 @@
+#include <ragwortrelay/core/digest.h>
 #include <ragwortrelay/detail/runtime/httpserver.h>
 #include <ragwortrelay/runtime/callerfront.h>
 
 #include <nlohmann/json.hpp>
 
-#include <openssl/evp.h>
-
 #include <algorithm>
-#include <array>
+#include <charconv>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,19 +25,17 @@
 constexpr unsigned HttpBadRequest = 400;
 constexpr unsigned HttpTooLarge = 413;
 constexpr unsigned HttpServiceUnavailable = 503;
+constexpr std::chrono::milliseconds LongestCallerDeadline = std::chrono::hours(1);
+constexpr const char *DeadlineHeader = "Ragwortrelay-Deadline-Ms";
 
-std::string sha256(const std::string &text)
+/// Returns the deadline that a caller gives, or nothing when the value isn't a whole number of milliseconds above 0.
+std::optional<Duration> deadlineFrom(const std::string &value)
 {
-    constexpr const char *Digits = "0123456789abcdef";
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned size = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
-    std::string hex;
-    for (unsigned i = 0; i < size; ++i) {
-        hex += Digits[digest[i] >> 4U];
-        hex += Digits[digest[i] & 15U];
-    }
-    return hex;
+    std::int64_t milliseconds = 0;
+    const char *end = value.data() + value.size();
+    const auto [stop, code] = std::from_chars(value.data(), end, milliseconds);
+    const bool isWhole = code == std::errc() && stop == end && milliseconds > 0 && milliseconds <= LongestCallerDeadline.count();
+    return isWhole ? std::optional<Duration>(std::chrono::milliseconds(milliseconds)) : std::nullopt;
 }
 
 /// One request on a connection of a caller. Owned by the front's thread.
@@ -49,6 +46,7 @@
     std::shared_ptr<CallerRequest> m_request;
     std::string m_authorization;
     std::string m_idempotencyKey;
+    std::optional<Duration> m_callerDeadline;
     bool m_tooLarge = false;
     bool m_handedOver = false;
     bool m_suspended = false;
@@ -222,6 +220,8 @@
         for (const auto &[name, value] : headers) {
             if (sameName(name, "Authorization")) {
                 exchange.m_authorization = value;
+            } else if (sameName(name, DeadlineHeader)) {
+                exchange.m_callerDeadline = deadlineFrom(value);
             } else if (sameName(name, "Idempotency-Key")) {
                 exchange.m_idempotencyKey = value;
                 kept.push_back({name, value});
@@ -284,6 +284,7 @@
         event.m_path = exchange.m_target.substr(0, exchange.m_target.find('?'));
         event.m_authorization = exchange.m_authorization;
         event.m_idempotencyKey = exchange.m_idempotencyKey;
+        event.m_callerDeadline = exchange.m_callerDeadline;
         event.m_bodyDigest = sha256(exchange.m_request->m_body);
         if (!m_decisions.push({event, exchange.m_request})) {
             return answer(exchange, {HttpServiceUnavailable, ErrorId::RequestOverload, Dispatch::Outcome::NotRun, "the host has too much to decide", {}});
--- a/src/runtime/decisionduty.cpp
+++ b/src/runtime/decisionduty.cpp
@@ -109,6 +109,8 @@
                 m_backends->orders().push(CancelRequest{typed.m_attempt});
             } else if constexpr (std::is_same_v<Type, Node::ForwardAnswer>) {
                 forwardAnswer(typed);
+            } else if constexpr (std::is_same_v<Type, Node::ReplayAnswer>) {
+                replayAnswer(typed);
             } else if constexpr (std::is_same_v<Type, Node::AnswerProblem>) {
                 answerProblem(typed);
             } else if constexpr (std::is_same_v<Type, Node::CallPlatform>) {
@@ -132,6 +134,7 @@
 {
     const auto request = m_requests.find(start.m_exchange);
     if (request == m_requests.end()) {
+        m_localEvents.emplace_back(Node::AttemptFailed{start.m_attempt, Dispatch::AttemptFailure::Cancelled, false});
         return;
     }
     auto stream = std::make_shared<AnswerStream>();
@@ -156,6 +159,21 @@
     m_requests.erase(forward.m_exchange);
 }
 
+void DecisionDuty::replayAnswer(const Node::ReplayAnswer &replay)
+{
+    static_assert(Dispatch::LargestStoredAnswer <= AnswerStream::BodyCapacity);
+    auto stream = std::make_shared<AnswerStream>();
+    stream->m_status = replay.m_answer.m_status;
+    stream->m_contentLength = static_cast<std::int64_t>(replay.m_answer.m_body.size());
+    for (const Dispatch::AnswerHeader &header : replay.m_answer.m_headers) {
+        stream->m_headers.push_back({header.m_name, header.m_value});
+    }
+    stream->m_body.push(replay.m_answer.m_body.data(), replay.m_answer.m_body.size());
+    stream->m_bodyState.store(BodyState::Whole);
+    m_waitingFrontOrders.emplace_back(SendAnswer{replay.m_exchange, 0, stream});
+    m_requests.erase(replay.m_exchange);
+}
+
 void DecisionDuty::answerProblem(const Node::AnswerProblem &answer)
 {
     m_waitingFrontOrders.emplace_back(SendProblem{answer.m_exchange, answer.m_problem});
--- /dev/null
+++ b/tests/dispatch/claimledger.cpp
@@ -0,0 +1,279 @@
+#include "../fakes/claimworld.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace RagwortRelay;
+using Dispatch::Outcome;
+using Dispatch::Problem;
+using Fakes::ClaimCopy;
+using Fakes::ClaimWorld;
+using Fakes::RunKind;
+using Fakes::TableFault;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int Hosts = 3;
+constexpr int Keys = 3;
+
+/// One thing that happens to the hosts, their table or their callers.
+struct Happening {
+    int m_kind = 0;
+    int m_first = 0;
+    int m_second = 0;
+};
+
+void showValue(const Happening &happening, std::ostream &stream)
+{
+    stream << '{' << happening.m_kind << ',' << happening.m_first << ',' << happening.m_second << '}';
+}
+
+rc::Gen<Happening> happenings()
+{
+    return rc::gen::build<Happening>(rc::gen::set(&Happening::m_kind, rc::gen::inRange(0, 12)),
+                                     rc::gen::set(&Happening::m_first, rc::gen::inRange(0, Hosts)),
+                                     rc::gen::set(&Happening::m_second, rc::gen::inRange(0, 60)));
+}
+
+void happen(ClaimWorld &world, const Happening &happening)
+{
+    const int first = happening.m_first;
+    const int second = happening.m_second;
+    switch (happening.m_kind) {
+    case 0:
+    case 1:
+    case 2:
+    case 3: {
+        const std::string body = second >= 55 ? "other" : "body";
+        world.send(first, "k" + std::to_string(second % Keys), body, static_cast<RunKind>(second / Keys % 4));
+        break;
+    }
+    case 4:
+        world.startHost(first);
+        ++world.m_kills;
+        break;
+    case 5:
+        world.pauseHost(first);
+        break;
+    case 6:
+        world.resumeHost(first);
+        break;
+    case 7:
+        world.m_fault = static_cast<TableFault>(second % 5);
+        break;
+    case 8:
+        if (!world.m_copies.empty()) {
+            world.leave(1 + static_cast<std::uint64_t>(second) % world.m_copies.size());
+        }
+        break;
+    case 9:
+        world.run(seconds(second % 15));
+        break;
+    default:
+        world.run(milliseconds(second * 5));
+    }
+}
+
+void settleDown(ClaimWorld &world)
+{
+    world.m_fault = TableFault::None;
+    for (int host = 0; host < Hosts; ++host) {
+        world.resumeHost(host);
+    }
+    world.run(seconds(40));
+}
+
+bool saysNotRun(const ClaimCopy &copy)
+{
+    const auto *problem = copy.m_answer ? std::get_if<Problem>(&*copy.m_answer) : nullptr;
+    return problem != nullptr && problem->m_outcome == Outcome::NotRun;
+}
+
+/// Checks each copy against what really ran.
+void checkCopies(const ClaimWorld &world)
+{
+    std::map<std::string, bool> allNotRun;
+    for (const auto &[id, copy] : world.m_copies) {
+        RC_ASSERT(!(copy.m_ran && saysNotRun(copy)));
+        allNotRun.try_emplace(copy.m_key, true).first->second &= saysNotRun(copy);
+        const auto *replay = copy.m_answer ? std::get_if<Dispatch::StoredAnswer>(&*copy.m_answer) : nullptr;
+        if (replay != nullptr) {
+            RC_ASSERT(world.m_answersOfRuns.contains(copy.m_key));
+            RC_ASSERT(*replay == world.m_answersOfRuns.at(copy.m_key));
+        }
+    }
+    for (const auto &[key, all] : allNotRun) {
+        RC_ASSERT(!all || !world.m_runs.contains(key));
+    }
+}
+
+/// What a caller that sends the key of an earlier request again gets, worked out from what really ran.
+std::string expectedOf(const ClaimWorld &world, const std::string &key)
+{
+    if (!world.m_runs.contains(key)) {
+        return "run";
+    }
+    return world.m_answersOfRuns.contains(key) ? "replay" : "told that it ran or may have run";
+}
+
+std::string observedOf(const ClaimCopy &copy)
+{
+    if (copy.m_ran) {
+        return "run";
+    }
+    if (!copy.m_answer) {
+        return "nothing";
+    }
+    if (std::holds_alternative<Dispatch::StoredAnswer>(*copy.m_answer)) {
+        return "replay";
+    }
+    return std::get<Problem>(*copy.m_answer).m_outcome == Outcome::Unknown ? "told that it ran or may have run" : "refused";
+}
+
+}
+
+TEST_CASE("claims on idempotency keys")
+{
+    SECTION("no sequence of faults runs a key twice or gives a wrong answer")
+    {
+        CHECK(rc::check("claims", [] {
+            ClaimWorld world(Hosts, *rc::gen::arbitrary<std::uint64_t>());
+            for (const Happening &happening : *rc::gen::container<std::vector<Happening>>(happenings())) {
+                happen(world, happening);
+                RC_ASSERT(world.m_violations.empty());
+            }
+            settleDown(world);
+            RC_ASSERT(world.m_violations.empty());
+            checkCopies(world);
+        }));
+    }
+
+    SECTION("once the faults are over, a key behaves as with one host and a faultless table")
+    {
+        CHECK(rc::check("claims against a sequential version", [] {
+            ClaimWorld world(Hosts, *rc::gen::arbitrary<std::uint64_t>());
+            for (const Happening &happening : *rc::gen::container<std::vector<Happening>>(happenings())) {
+                const bool endsHost = happening.m_kind == 4;
+                if (!endsHost) {
+                    happen(world, happening);
+                }
+            }
+            settleDown(world);
+            for (const auto &[id, copy] : world.m_copies) {
+                RC_ASSERT(copy.m_ran || copy.m_answer || copy.m_gone);
+            }
+            for (int host = 0; host < Hosts; ++host) {
+                RC_ASSERT(world.ledger(host).m_claims.empty());
+                RC_ASSERT(world.ledger(host).m_keys.empty());
+            }
+            const int host = *rc::gen::inRange(0, Hosts);
+            for (int key = 0; key < Keys; ++key) {
+                const std::string name = "k" + std::to_string(key);
+                std::string fingerprint = "body";
+                for (const auto &[id, copy] : world.m_copies) {
+                    fingerprint = copy.m_key == name && copy.m_ran ? copy.m_fingerprint : fingerprint;
+                }
+                const std::string expected = expectedOf(world, name);
+                const std::uint64_t copy = world.send(host, name, fingerprint, RunKind::Answered);
+                world.run(seconds(15));
+                RC_ASSERT(observedOf(world.m_copies.at(copy)) == expected);
+            }
+            RC_ASSERT(world.m_violations.empty());
+        }));
+    }
+}
+
+TEST_CASE("claims in single cases")
+{
+    ClaimWorld world(2, 1);
+    const auto problemOf = [&](std::uint64_t copy) { return std::get<Problem>(world.m_copies.at(copy).m_answer.value()); };
+
+    SECTION("the same key with another request is refused as not run")
+    {
+        world.send(0, "k", "body", RunKind::Answered);
+        world.run(seconds(1));
+        for (const int host : {0, 1}) {
+            const auto copy = world.send(host, "k", "other", RunKind::Answered);
+            world.run(seconds(1));
+            CHECK(problemOf(copy).m_id == ErrorId::RequestIdempotencyKeyReused);
+            CHECK(problemOf(copy).m_outcome == Outcome::NotRun);
+        }
+    }
+
+    SECTION("a second request waits for the first on another host and gets its answer")
+    {
+        world.m_runTime = seconds(3);
+        world.send(0, "k", "body", RunKind::Answered);
+        world.run(seconds(1));
+        const auto second = world.send(1, "k", "body", RunKind::Answered);
+        world.run(seconds(5));
+        CHECK(std::get<Dispatch::StoredAnswer>(*world.m_copies.at(second).m_answer) == world.m_answersOfRuns.at("k"));
+    }
+
+    SECTION("a request that runs past the second one's deadline leaves it unknown")
+    {
+        world.m_runTime = seconds(60);
+        world.send(0, "k", "body", RunKind::Answered);
+        world.run(seconds(1));
+        const auto second = world.send(1, "k", "body", RunKind::Answered);
+        world.run(seconds(11));
+        CHECK(problemOf(second).m_id == ErrorId::RequestAlreadyRunning);
+        CHECK(problemOf(second).m_outcome == Outcome::Unknown);
+    }
+
+    SECTION("a claim that takes effect after its request was refused runs nothing, and the key is free again")
+    {
+        world.m_fault = TableFault::LateWrites;
+        const auto first = world.send(0, "k", "body", RunKind::Answered);
+        world.run(seconds(5));
+        CHECK(problemOf(first).m_id == ErrorId::RequestClaimUnavailable);
+        CHECK(problemOf(first).m_outcome == Outcome::NotRun);
+        world.m_fault = TableFault::None;
+        world.run(seconds(30));
+        CHECK(world.m_runs.empty());
+        const auto second = world.send(1, "k", "body", RunKind::Answered);
+        world.run(seconds(5));
+        CHECK(world.m_copies.at(second).m_ran);
+    }
+
+    SECTION("with the table down, requests are refused at once but for a probe now and then")
+    {
+        world.m_fault = TableFault::Down;
+        for (int i = 0; i < 5; ++i) {
+            world.send(0, "k" + std::to_string(i), "body", RunKind::Answered);
+        }
+        world.run(seconds(10));
+        CHECK(Dispatch::isTableDown(world.ledger(0)));
+        world.send(0, "probe", "body", RunKind::Answered);
+        const auto copy = world.send(0, "k9", "body", RunKind::Answered);
+        CHECK(problemOf(copy).m_id == ErrorId::RequestClaimUnavailable);
+        world.m_fault = TableFault::None;
+        world.run(seconds(10));
+        CHECK_FALSE(Dispatch::isTableDown(world.ledger(0)));
+    }
+
+    SECTION("many claims at once share transactions, and one that is taken doesn't refuse the others")
+    {
+        world.send(1, "k3", "body", RunKind::Answered);
+        world.run(seconds(1));
+        const std::uint64_t writes = world.m_platform.m_writes;
+        for (int i = 0; i < 20; ++i) {
+            world.send(0, "k" + std::to_string(i), "body", RunKind::Answered);
+        }
+        world.run(seconds(1));
+        CHECK(world.m_runs.size() == 20);
+        CHECK(world.m_platform.m_writes - writes < 15);
+    }
+
+    SECTION("claims are erased after their time, not before")
+    {
+        world.send(0, "k", "body", RunKind::Answered);
+        world.run(std::chrono::hours(20));
+        const auto key = Dispatch::claimKey(WorkspaceId("w"), "k");
+        CHECK(world.m_platform.m_items.contains(key));
+        world.run(std::chrono::hours(20));
+        CHECK_FALSE(world.m_platform.m_items.contains(key));
+    }
+}
--- a/tests/fakes/fakefleet.h
+++ b/tests/fakes/fakefleet.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -27,6 +28,8 @@
     TimePoint m_at;
     bool m_forwarded = false; ///< A backend server's answer.
     Dispatch::Problem m_problem; ///< Of the proxy, when not forwarded.
+    Node::AttemptId m_attempt = 0; ///< Whose answer it is, when forwarded.
+    std::optional<Dispatch::StoredAnswer> m_replayed; ///< Of an earlier request with the key.
 };
 
 /// How the network and the platform treat messages. Chances are between 0 and 1.
@@ -193,9 +196,11 @@
         } else if (const auto *send = std::get_if<Node::SendPeer>(&action)) {
             sendPeer(host, *send);
         } else if (const auto *forward = std::get_if<Node::ForwardAnswer>(&action)) {
-            m_answers.push_back({host, forward->m_exchange, m_now, true, {}});
+            m_answers.push_back({host, forward->m_exchange, m_now, true, {}, forward->m_attempt, {}});
+        } else if (const auto *replay = std::get_if<Node::ReplayAnswer>(&action)) {
+            m_answers.push_back({host, replay->m_exchange, m_now, true, {}, 0, replay->m_answer});
         } else if (const auto *problem = std::get_if<Node::AnswerProblem>(&action)) {
-            m_answers.push_back({host, problem->m_exchange, m_now, false, problem->m_problem});
+            m_answers.push_back({host, problem->m_exchange, m_now, false, problem->m_problem, 0, {}});
         } else if (const auto *reply = std::get_if<Node::AnswerOperator>(&action)) {
             m_operatorReplies.insert_or_assign(reply->m_call, reply->m_reply);
         } else if (std::holds_alternative<Node::Exit>(action)) {
