--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -8,7 +8,9 @@
 #include <ragwortrelay/limits/tokenbucket.h>
 #include <ragwortrelay/node/action.h>
 #include <ragwortrelay/node/event.h>
+#include <ragwortrelay/node/placement.h>
 #include <ragwortrelay/reporting/counters.h>
+#include <ragwortrelay/reporting/servicelevel.h>
 
 #include <map>
 #include <optional>
@@ -30,6 +32,9 @@
     Dispatch::ClaimSettings m_claims; ///< The owner is set by makeNode().
     Dispatch::RetrySettings m_retries;
 
+    Balancing::BalancerSettings m_balancing;
+    Balancing::QueueSettings m_queue;
+
     friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
 };
 
@@ -65,6 +70,8 @@
     AttemptId m_attempt = 0; ///< The one that may answer the caller.
     std::uint32_t m_attempts = 0;
     std::set<ServerId> m_tried;
+    std::vector<ServerId> m_shedBy; ///< Servers that shed it since it last waited for its turn.
+    std::optional<TimePoint> m_placeBefore; ///< Set when it first waits for its turn.
     ClaimUse m_claim = ClaimUse::None;
     bool m_mayHaveRun = false; ///< An attempt that ended may have run it.
     bool m_forwarded = false; ///< The caller gets the answer of the attempt.
@@ -82,6 +89,8 @@
 enum class PlatformPurpose : std::uint8_t {
     PollChanges,
     AppendChange,
+    StoreServiceLevels,
+    ReadServiceLevels,
     Claim,
 };
 
@@ -94,6 +103,32 @@
     Dispatch::ClaimCallId m_claimCall = 0; ///< Of Claim.
 };
 
+/// A request whose answer will count against the objective of its service.
+struct TrackedRequest {
+    ServiceId m_service;
+    TimePoint m_arrivedAt;
+    std::uint16_t m_status = 0; ///< Of the last answer of a backend server, 0 for none.
+    bool m_forwarded = false; ///< The caller is getting the answer.
+};
+
+/// A burn report whose records are being read.
+struct PendingReport {
+    Reporting::ServiceLevels m_levels;
+    std::size_t m_records = 0; ///< Records of hosts read so far.
+};
+
+/// What a host records for the service-level report.
+struct ServiceLevelState {
+    Reporting::ServiceLevels m_levels;
+    std::map<ExchangeId, TrackedRequest> m_requests;
+    Reporting::WallSeconds m_wallClock = 0;
+    std::int64_t m_storedHour = 0; ///< Hours since 1970 of the item that is being written, 0 for none.
+    std::uint64_t m_storedVersion = 0; ///< Version of that item.
+    std::optional<TimePoint> m_storedAt;
+    bool m_storeRuns = false;
+    std::map<OperatorCallId, PendingReport> m_reports;
+};
+
 /// State of one host. The present time and all input reach it as arguments of handle().
 struct Node {
     NodeSettings m_settings;
@@ -102,12 +137,14 @@
     Configuration::Catalogue m_catalogue;
     std::map<WorkspaceId, Limits::TokenBucket> m_buckets;
     Balancing::Balancer m_balancer;
+    Placement m_placement;
     std::map<ExchangeId, Exchange> m_exchanges;
     std::map<AttemptId, Attempt> m_attempts;
     std::map<PlatformCallId, PendingCall> m_calls;
     std::map<OperatorCallId, EditTable> m_waitingEdits; ///< To be tried again after the next poll.
     std::set<ExchangeId> m_waitingExchanges; ///< To be advanced with the next tick.
     Reporting::Counters m_counters;
+    ServiceLevelState m_serviceLevels;
     Dispatch::ClaimLedger m_claims;
     std::vector<Dispatch::ClaimVerdict> m_claimVerdicts; ///< To be performed before the present event is done.
     std::map<ServiceId, Dispatch::RetryBudget> m_retryBudgets;
--- a/src/node/requests.cpp
+++ b/src/node/requests.cpp
@@ -47,7 +47,7 @@
 void noteAttempt(Node &node, const Exchange &exchange, bool shed)
 {
     Dispatch::RetryBudget &budget = budgetOf(node, exchange);
-    if (exchange.m_attempts == 1) {
+    if (exchange.m_attempts == 1 && !shed) {
         budget = Dispatch::afterFirstAttempt(budget, node.m_settings.m_retries);
     }
     budget = Dispatch::afterAttempt(budget, node.m_settings.m_retries, shed);
@@ -64,17 +64,12 @@
 void endExchange(Node &node, ExchangeId id, const Dispatch::ClaimResult &result, TimePoint now, Actions &actions)
 {
     const auto found = node.m_exchanges.find(id);
+    leaveQueue(node, id, found->second);
     settleExchange(node, id, found->second, result, now, actions);
     node.m_exchanges.erase(found);
     node.m_waitingExchanges.erase(id);
 }
 
-/// Returns how a claim ends whose request was refused.
-Dispatch::ClaimResult resultOfRefusal(const Exchange &exchange)
-{
-    return {exchange.m_mayHaveRun ? ClaimState::Unknown : ClaimState::Released, {}};
-}
-
 Problem problemOf(const AttemptFailed &failure, bool mayHaveRun)
 {
     Problem problem;
@@ -94,14 +89,15 @@
 /// Takes in an answer by which the backend server shed the request unrun.
 void onShed(Node &node, ExchangeId id, AttemptId attempt, TimePoint now, Actions &actions)
 {
+    const ServerId server = node.m_attempts.at(attempt).m_server;
     finishAttempt(node, attempt);
     actions.push_back(CancelAttempt{attempt});
     const Exchange &exchange = node.m_exchanges.at(id);
-    if (takeRetry(node, exchange, false, now)) {
-        return placeAgain(node, id, now, actions);
+    if (!exchange.m_callerGone && now < exchange.m_deadline) {
+        return placeAgainAfterShed(node, id, server, now, actions);
     }
     refuse(node, id, {HttpServiceUnavailable, ErrorId::RequestOverload, Outcome::NotRun, "the backend servers are overloaded", {}}, actions);
-    endExchange(node, id, resultOfRefusal(exchange), now, actions);
+    endRefused(node, id, now, actions);
 }
 
 /// Takes in the answer to a request whose caller is gone, for its claim.
@@ -130,6 +126,12 @@
     actions.push_back(AnswerProblem{id, exact});
 }
 
+void endRefused(Node &node, ExchangeId id, TimePoint now, Actions &actions)
+{
+    const bool mayHaveRun = node.m_exchanges.at(id).m_mayHaveRun;
+    endExchange(node, id, {mayHaveRun ? ClaimState::Unknown : ClaimState::Released, {}}, now, actions);
+}
+
 void advance(Node &node, ExchangeId id, TimePoint now, Actions &actions)
 {
     Exchange &exchange = node.m_exchanges.at(id);
@@ -162,7 +164,7 @@
     if (progress == Progress::Wait) {
         node.m_waitingExchanges.insert(id);
     } else if (progress == Progress::Ended) {
-        endExchange(node, id, resultOfRefusal(exchange), now, actions);
+        endRefused(node, id, now, actions);
     }
 }
 
@@ -221,7 +223,7 @@
         exchange.m_mayHaveRun = true;
         actions.push_back(CancelAttempt{exchange.m_attempt});
     }
-    endExchange(node, gone.m_exchange, resultOfRefusal(exchange), now, actions);
+    endRefused(node, gone.m_exchange, now, actions);
 }
 
 void onAttemptAnswered(Node &node, const AttemptAnswered &answer, TimePoint now, Actions &actions)
@@ -231,6 +233,7 @@
         return;
     }
     const ExchangeId id = running->second.m_exchange;
+    observeAnswer(node, answer, now);
     Exchange &exchange = node.m_exchanges.at(id);
     noteAttempt(node, exchange, answer.m_notRun);
     if (answer.m_notRun) {
@@ -267,7 +270,7 @@
         return placeAgain(node, id, now, actions);
     }
     refuse(node, id, problemOf(failure, exchange.m_mayHaveRun), actions);
-    endExchange(node, id, resultOfRefusal(exchange), now, actions);
+    endRefused(node, id, now, actions);
 }
 
 void onAttemptEnded(Node &node, const AttemptEnded &ended, TimePoint now, Actions &actions)
