--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -6,6 +6,7 @@
 #include <ragwortrelay/dispatch/claimledger.h>
 #include <ragwortrelay/dispatch/retrybudget.h>
 #include <ragwortrelay/limits/tokenbucket.h>
+#include <ragwortrelay/membership/membership.h>
 #include <ragwortrelay/node/action.h>
 #include <ragwortrelay/node/event.h>
 #include <ragwortrelay/node/placement.h>
@@ -29,6 +30,8 @@
     Duration m_balancerLag{std::chrono::seconds(2)}; ///< After failing readiness, until the balancer sends nothing more.
     Duration m_stopLimit{std::chrono::seconds(30)}; ///< Longest wait for requests in flight on stopping.
     std::uint32_t m_attemptsAtMost = 3;
+    std::map<HostId, std::string> m_peerSeeds; ///< Addresses of some hosts, for a start without the platform.
+    Duration m_seatHorizon{std::chrono::hours(24)}; ///< See Membership::MembershipSettings::m_horizon.
     Dispatch::ClaimSettings m_claims; ///< The owner is set by makeNode().
     Dispatch::RetrySettings m_retries;
 
@@ -91,6 +94,7 @@
     AppendChange,
     StoreServiceLevels,
     ReadServiceLevels,
+    Membership,
     Claim,
 };
 
@@ -100,6 +104,7 @@
     OperatorCallId m_operatorCall = 0;
     EditTable m_edit; ///< Of AppendChange.
     Configuration::Change m_change; ///< Of AppendChange.
+    Membership::CallKind m_membershipCall{}; ///< Of Membership.
     Dispatch::ClaimCallId m_claimCall = 0; ///< Of Claim.
 };
 
@@ -143,6 +148,7 @@
     std::map<PlatformCallId, PendingCall> m_calls;
     std::map<OperatorCallId, EditTable> m_waitingEdits; ///< To be tried again after the next poll.
     std::set<ExchangeId> m_waitingExchanges; ///< To be advanced with the next tick.
+    Membership::MembershipState m_membership;
     Reporting::Counters m_counters;
     ServiceLevelState m_serviceLevels;
     Dispatch::ClaimLedger m_claims;
