--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -3,6 +3,8 @@
 #include <ragwortrelay/balancing/balancer.h>
 #include <ragwortrelay/configuration/catalogue.h>
 #include <ragwortrelay/core/random.h>
+#include <ragwortrelay/dispatch/claimledger.h>
+#include <ragwortrelay/dispatch/retrybudget.h>
 #include <ragwortrelay/limits/tokenbucket.h>
 #include <ragwortrelay/membership/membership.h>
 #include <ragwortrelay/node/action.h>
@@ -32,6 +34,8 @@
     std::uint32_t m_attemptsAtMost = 3;
     std::map<HostId, std::string> m_peerSeeds; ///< Addresses of some hosts, for a start without the platform.
     Duration m_seatHorizon{std::chrono::hours(24)}; ///< See Membership::MembershipSettings::m_horizon.
+    Dispatch::ClaimSettings m_claims; ///< The owner is set by makeNode().
+    Dispatch::RetrySettings m_retries;
 
     Balancing::BalancerSettings m_balancing;
     Balancing::QueueSettings m_queue;
@@ -54,6 +58,13 @@
     Ended, ///< The request was answered.
 };
 
+/// How far the claim of a request on its idempotency key has come.
+enum class ClaimUse : std::uint8_t {
+    None,
+    Waiting,
+    Held,
+};
+
 /// A request that this host answers.
 struct Exchange {
     Stage m_stage = Stage::Admit;
@@ -66,6 +77,10 @@
     std::set<ServerId> m_tried;
     std::vector<ServerId> m_shedBy; ///< Servers that shed it since it last waited for its turn.
     std::optional<TimePoint> m_placeBefore; ///< Set when it first waits for its turn.
+    ClaimUse m_claim = ClaimUse::None;
+    bool m_mayHaveRun = false; ///< An attempt that ended may have run it.
+    bool m_forwarded = false; ///< The caller gets the answer of the attempt.
+    bool m_callerGone = false; ///< It runs on for its claim's sake.
 };
 
 /// An attempt that runs.
@@ -82,6 +97,7 @@
     StoreServiceLevels,
     ReadServiceLevels,
     Membership,
+    Claim,
 };
 
 /// A call to the platform that runs.
@@ -91,6 +107,7 @@
     EditTable m_edit; ///< Of AppendChange.
     Configuration::Change m_change; ///< Of AppendChange.
     Membership::CallKind m_membershipCall{}; ///< Of Membership.
+    Dispatch::ClaimCallId m_claimCall = 0; ///< Of Claim.
 };
 
 /// A request whose answer will count against the objective of its service.
@@ -136,6 +153,9 @@
     Membership::MembershipState m_membership;
     Reporting::Counters m_counters;
     ServiceLevelState m_serviceLevels;
+    Dispatch::ClaimLedger m_claims;
+    std::vector<Dispatch::ClaimVerdict> m_claimVerdicts; ///< To be performed before the present event is done.
+    std::map<ServiceId, Dispatch::RetryBudget> m_retryBudgets;
     AttemptId m_lastAttempt = 0;
     PlatformCallId m_lastCall = 0;
     std::optional<TimePoint> m_polledAt;
--- a/src/node/placement.cpp
+++ b/src/node/placement.cpp
@@ -209,8 +209,7 @@
     }
     if (node.m_settings.m_queue.m_perService == 0) {
         refuseOverload(node, id, "no backend server has a free slot", actions);
-        node.m_exchanges.erase(id);
-        return;
+        return endRefused(node, id, now, actions);
     }
     Balancing::enqueueAgain(queue, queuedRequestOf(node, id, exchange, now));
     node.m_waitingExchanges.insert(id);
