Refuse ambiguous requests and bound what a caller can hold

Cause: the front took targets with dot segments and escaped slashes, several Host and Authorization headers, names and values with control characters, and any transfer coding; a key in the query or the body went on to the backend server; a caller that dripped its header or body held its connection for as long as it liked; one that went away while its request waited was not noticed, because libmicrohttpd doesn't watch suspended connections; trailers of a backend server could pass for headers; the entry of a cancelled answer stayed in a map.

Now the head is checked by free functions before anything is handed over, escapes of unreserved characters in the path are decoded so that a route can't be passed by, header and body have time limits, hang-ups of suspended connections are watched, and stopping waits until callers have read their answers. The host refuses new requests as not run once the balancer's lag is over.

--- a/include/ragwortrelay/runtime/backendclient.h
+++ b/include/ragwortrelay/runtime/backendclient.h
@@ -2,8 +2,10 @@
 
 #include <ragwortrelay/core/time.h>
 #include <ragwortrelay/node/event.h>
+#include <ragwortrelay/reporting/counters.h>
 #include <ragwortrelay/runtime/input.h>
 #include <ragwortrelay/runtime/message.h>
+#include <ragwortrelay/settings/settings.h>
 
 #include <memory>
 #include <string>
@@ -42,7 +44,7 @@
 public:
     /// @param decisions ring that gets the results
     /// @param onBytes called on the client's thread when a stream whose reader waits has more bytes or has ended
-    BackendClient(DecisionRing &decisions, std::function<void(Node::AttemptId)> onBytes);
+    BackendClient(const Settings::BackendSettings &settings, DecisionRing &decisions, std::function<void(Node::AttemptId)> onBytes);
     ~BackendClient();
     BackendClient(const BackendClient &) = delete;
     BackendClient &operator=(const BackendClient &) = delete;
@@ -56,6 +58,9 @@
     /// Returns the ring for orders. Thread-safe.
     [[nodiscard]] Ring<BackendOrder> &orders();
 
+    /// Returns how many orders found the ring full. Thread-safe.
+    [[nodiscard]] Reporting::Counters counters() const;
+
 private:
     class Implementation;
     std::unique_ptr<Implementation> m_implementation;
--- a/include/ragwortrelay/runtime/callerfront.h
+++ b/include/ragwortrelay/runtime/callerfront.h
@@ -2,6 +2,7 @@
 
 #include <ragwortrelay/dispatch/outcome.h>
 #include <ragwortrelay/node/event.h>
+#include <ragwortrelay/reporting/counters.h>
 #include <ragwortrelay/runtime/input.h>
 #include <ragwortrelay/runtime/message.h>
 #include <ragwortrelay/settings/settings.h>
@@ -47,9 +48,15 @@
     /// Opens the port and starts the thread. Throws std::runtime_error when the port can't be had. Call once.
     void start();
 
-    /// Ends the thread and closes all connections. Thread-safe; idempotent.
+    /// From now on, each answer closes its connection, so that callers go elsewhere. Thread-safe; idempotent.
+    void announceStop();
+
+    /// Takes no new connections, lets callers read their answers for a short time, and ends the thread. Thread-safe; idempotent.
     void stop();
 
+    /// Returns what was refused before it reached the decision duty. Thread-safe.
+    [[nodiscard]] Reporting::Counters counters() const;
+
     /// Returns the ring for orders. Thread-safe.
     [[nodiscard]] Ring<FrontOrder> &orders();
 
--- a/include/ragwortrelay/runtime/decisionduty.h
+++ b/include/ragwortrelay/runtime/decisionduty.h
@@ -46,6 +46,9 @@
     /// Ends the thread. Thread-safe; idempotent.
     void stop();
 
+    /// Returns how many events found the ring full. Thread-safe.
+    [[nodiscard]] Reporting::Counters counters() const;
+
     /// Passes on that a stream has room again. Thread-safe.
     void onSpace(Node::AttemptId attempt);
 
@@ -59,6 +62,7 @@
     void startAttempt(const Node::StartAttempt &start);
     void forwardAnswer(const Node::ForwardAnswer &forward);
     void answerProblem(const Node::AnswerProblem &answer);
+    void forgetForwarded(Node::AttemptId attempt);
     void flush();
 
     static constexpr std::size_t InputCapacity = 32768;
--- a/include/ragwortrelay/settings/settings.h
+++ b/include/ragwortrelay/settings/settings.h
@@ -25,10 +25,28 @@
 struct CallerSettings {
     std::string m_listen; ///< `IP:PORT`; port 0 lets the kernel choose.
     std::uint64_t m_bodyLimit = 1U << 20U; ///< Bytes.
+    std::uint64_t m_headerLimit = 16U << 10U; ///< Bytes, of the request line and all headers.
+    std::uint64_t m_connectionLimit = 4096;
+    Duration m_headerTimeout{std::chrono::seconds(10)}; ///< From the start of a connection to the end of its first header.
+    Duration m_bodyTimeout{std::chrono::seconds(30)}; ///< From the end of the header to the end of the body.
+    Duration m_idleTimeout{std::chrono::seconds(75)}; ///< From an answer to the end of the header of the next request.
+    Duration m_answerTimeout{std::chrono::minutes(2)}; ///< From the start of an answer until the caller has read all of it.
+    std::string m_certificate; ///< PEM file with the chain; empty for plain HTTP.
+    std::string m_key; ///< PEM file, of m_certificate.
 
     friend bool operator==(const CallerSettings &, const CallerSettings &) = default;
 };
 
+/// How this host reaches backend servers.
+struct BackendSettings {
+    bool m_usesTls = false;
+    std::string m_authority; ///< PEM file of the authorities that backend servers' certificates must be of.
+    Duration m_connectTimeout{std::chrono::seconds(1)};
+    std::uint64_t m_idleConnections = 512; ///< Kept open, to all backend servers together.
+
+    friend bool operator==(const BackendSettings &, const BackendSettings &) = default;
+};
+
 /// How operators reach this host.
 struct OperatorSettings {
     std::string m_listen; ///< `IP:PORT`; port 0 lets the kernel choose.
@@ -89,6 +107,7 @@
 struct Settings {
     HostSettings m_host;
     CallerSettings m_callers;
+    BackendSettings m_backends;
     OperatorSettings m_operators;
     PlatformSettings m_platform;
     PeerSettings m_peers;
--- a/src/node/requests.cpp
+++ b/src/node/requests.cpp
@@ -82,6 +82,9 @@
 void onRequestArrived(Node &node, const RequestArrived &request, TimePoint now, Actions &actions)
 {
     const ExchangeId id = request.m_exchange;
+    if (node.m_stopAskedAt && now - *node.m_stopAskedAt >= node.m_settings.m_balancerLag) {
+        return refuse(node, id, {HttpServiceUnavailable, ErrorId::RequestStopping, Outcome::NotRun, "the host is stopping", {}}, actions);
+    }
     if (node.m_table.m_version == 0) {
         return refuse(node, id, {HttpServiceUnavailable, ErrorId::RequestStopping, Outcome::NotRun, "the host has no configuration yet", {}}, actions);
     }
--- a/src/runtime/backendclient.cpp
+++ b/src/runtime/backendclient.cpp
@@ -18,7 +18,7 @@
 
 using Dispatch::AttemptFailure;
 
-constexpr long ConnectTimeoutMilliseconds = 1000;
+constexpr std::size_t LargestAnswerHeader = 16U << 10U; // bytes, of all headers together
 constexpr const char *DeadlineHeader = "Ragwortrelay-Deadline-Ms: ";
 constexpr const char *LoadHeader = "endpoint-load-metrics";
 constexpr const char *OutcomeHeader = "Ragwortrelay-Outcome";
@@ -31,6 +31,9 @@
     DecisionRing *m_decisions = nullptr;
     const std::function<void(Node::AttemptId)> *m_onBytes = nullptr;
     Headers m_answerHeaders;
+    std::size_t m_answerHeaderSize = 0; ///< Bytes.
+    std::string m_contentLength; ///< As the answer gave it.
+    bool m_isHeadComplete = false; ///< What follows are trailers.
     bool m_sent = false;
     bool m_answered = false;
     bool m_paused = false;
@@ -48,6 +51,11 @@
     }
 };
 
+long millisecondsOf(Duration duration)
+{
+    return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 /// Reads one metric of an ORCA load report in text form, or 0.
 /// Source: Open Request Cost Aggregation, header `endpoint-load-metrics`.
 double metricOf(const std::string &report, const std::string &name)
@@ -97,13 +105,48 @@
     }
 }
 
+/// Tells whether the answer still has one length.
+bool checkLength(Transfer &transfer, const std::string &name, const std::string &value)
+{
+    if (!sameName(name, "Content-Length")) {
+        return true;
+    }
+    const bool isConsistent = transfer.m_contentLength.empty() || transfer.m_contentLength == value;
+    transfer.m_contentLength = value;
+    return isConsistent;
+}
+
+bool isFinalStatus(long status)
+{
+    constexpr long FirstFinal = 200;
+    constexpr long LastKnown = 599;
+    return status >= FirstFinal && status <= LastKnown;
+}
+
+/// Tells whether the answer that is being read has a status of its own, not one of an interim answer.
+bool hasFinalStatus(const Transfer &transfer)
+{
+    long status = 0;
+    curl_easy_getinfo(transfer.m_easy, CURLINFO_RESPONSE_CODE, &status);
+    return isFinalStatus(status);
+}
+
 std::size_t onHeader(char *data, std::size_t /*one*/, std::size_t size, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
     std::string line(data, size);
     line.erase(line.find_last_not_of("\r\n") + 1);
+    if (transfer->m_isHeadComplete) {
+        return size; // Trailers are not passed on.
+    }
+    if (line.empty()) {
+        transfer->m_isHeadComplete = hasFinalStatus(*transfer);
+        return size;
+    }
     if (line.starts_with("HTTP/")) {
         transfer->m_answerHeaders.clear(); // An interim answer came before.
+        transfer->m_answerHeaderSize = 0;
+        transfer->m_contentLength.clear();
         return size;
     }
     const std::size_t colon = line.find(':');
@@ -113,6 +156,10 @@
     std::string value = line.substr(colon + 1);
     value.erase(0, value.find_first_not_of(" \t"));
     const std::string name = line.substr(0, colon);
+    transfer->m_answerHeaderSize += size;
+    if (transfer->m_answerHeaderSize > LargestAnswerHeader || !checkLength(*transfer, name, value)) {
+        return 0; // Breaks off the transfer.
+    }
     if (sameName(name, LoadHeader)) {
         transfer->m_load = loadReportFrom(value);
     }
@@ -172,8 +219,10 @@
 class BackendClient::Implementation
 {
 public:
-    Implementation(DecisionRing &decisions, std::function<void(Node::AttemptId)> onBytes)
-        : m_decisions(decisions), m_onBytes(std::move(onBytes)), m_multi(curl_multi_init()), m_orders(OrderCapacity, [this] { curl_multi_wakeup(m_multi); })
+    Implementation(const Settings::BackendSettings &settings, DecisionRing &decisions, std::function<void(Node::AttemptId)> onBytes)
+        : m_settings(settings), m_decisions(decisions), m_onBytes(std::move(onBytes)), m_multi(curl_multi_init()), m_orders(OrderCapacity, [this] {
+            curl_multi_wakeup(m_multi);
+        })
     {
     }
 
@@ -251,17 +300,20 @@
         m_transfers.emplace(transfer->m_order.m_attempt, std::move(transfer));
     }
 
-    static void setRequest(Transfer &transfer)
+    void setRequest(Transfer &transfer) const
     {
         CURL *easy = transfer.m_easy;
         const CallerRequest &request = *transfer.m_order.m_request;
-        const long timeLeft = std::max<long>(1, std::chrono::duration_cast<std::chrono::milliseconds>(transfer.m_order.m_timeLeft).count());
-        const std::string url = "http://" + transfer.m_order.m_address + request.m_target;
+        const long timeLeft = std::max<long>(1, millisecondsOf(transfer.m_order.m_timeLeft));
+        const std::string url = (m_settings.m_usesTls ? "https://" : "http://") + transfer.m_order.m_address + request.m_target;
         curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
         curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
         curl_easy_setopt(easy, CURLOPT_PROXY, "");
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeLeft);
-        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::min(timeLeft, ConnectTimeoutMilliseconds));
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::min<long>(timeLeft, millisecondsOf(m_settings.m_connectTimeout)));
+        if (m_settings.m_usesTls) {
+            curl_easy_setopt(easy, CURLOPT_CAINFO, m_settings.m_authority.c_str());
+        }
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
         if (request.m_method == "HEAD") {
@@ -321,7 +373,7 @@
 
     static void finish(Transfer &transfer, CURLcode code)
     {
-        const bool whole = code == CURLE_OK;
+        const bool whole = code == CURLE_OK && transfer.m_isHeadComplete;
         transfer.m_order.m_stream->m_bodyState.store(whole ? BodyState::Whole : BodyState::CutShort);
         if (transfer.m_answered) {
             wakeReader(transfer);
@@ -351,6 +403,7 @@
         }
     }
 
+    Settings::BackendSettings m_settings;
     DecisionRing &m_decisions;
     std::function<void(Node::AttemptId)> m_onBytes;
     CURLM *m_multi;
@@ -360,8 +413,8 @@
     Ring<BackendOrder> m_orders;
 };
 
-BackendClient::BackendClient(DecisionRing &decisions, std::function<void(Node::AttemptId)> onBytes)
-    : m_implementation(std::make_unique<Implementation>(decisions, std::move(onBytes)))
+BackendClient::BackendClient(const Settings::BackendSettings &settings, DecisionRing &decisions, std::function<void(Node::AttemptId)> onBytes)
+    : m_implementation(std::make_unique<Implementation>(settings, decisions, std::move(onBytes)))
 {
 }
 
@@ -377,6 +430,11 @@
     m_implementation->stop();
 }
 
+Reporting::Counters BackendClient::counters() const
+{
+    return {{"ring_refused{ring=\"backend-client\"}", m_implementation->orders().refused()}};
+}
+
 Ring<BackendOrder> &BackendClient::orders()
 {
     return m_implementation->orders();
--- a/src/runtime/callerfront.cpp
+++ b/src/runtime/callerfront.cpp
@@ -1,5 +1,7 @@
 #include <ragwortrelay/detail/runtime/httpserver.h>
+#include <ragwortrelay/detail/runtime/requestcheck.h>
 #include <ragwortrelay/runtime/callerfront.h>
+#include <ragwortrelay/runtime/sharedcounters.h>
 
 #include <nlohmann/json.hpp>
 
@@ -23,9 +25,9 @@
 
 namespace {
 
-constexpr unsigned HttpBadRequest = 400;
-constexpr unsigned HttpTooLarge = 413;
-constexpr unsigned HttpServiceUnavailable = 503;
+constexpr std::uint16_t HttpBadRequest = 400;
+constexpr std::uint16_t HttpTooLarge = 413;
+constexpr std::uint16_t HttpServiceUnavailable = 503;
 
 std::string sha256(const std::string &text)
 {
@@ -49,9 +51,13 @@
     std::shared_ptr<CallerRequest> m_request;
     std::string m_authorization;
     std::string m_idempotencyKey;
+    std::string m_secret; ///< Of m_authorization.
     bool m_tooLarge = false;
+    std::uint64_t m_discarded = 0; ///< Bytes of a body that is too large.
     bool m_handedOver = false;
     bool m_suspended = false;
+    bool m_gone = false; ///< The caller closed its connection, or is given up.
+    detail::HttpServer *m_server = nullptr;
     Node::AttemptId m_attempt = 0;
     std::function<void(Node::AttemptId)> *m_onSpace = nullptr;
     std::shared_ptr<AnswerStream> m_stream; ///< Set once the answer may be sent.
@@ -83,17 +89,6 @@
     return response;
 }
 
-bool hasSmugglingShape(const std::vector<std::pair<std::string, std::string>> &headers)
-{
-    std::size_t lengths = 0;
-    std::size_t encodings = 0;
-    for (const auto &[name, value] : headers) {
-        lengths += sameName(name, "Content-Length") ? 1 : 0;
-        encodings += sameName(name, "Transfer-Encoding") ? 1 : 0;
-    }
-    return lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0);
-}
-
 }
 
 class CallerFront::Implementation
@@ -103,7 +98,7 @@
         : m_settings(settings)
         , m_decisions(decisions)
         , m_onSpace(std::move(onSpace))
-        , m_server(settings.m_listen, {onRequest, onCompleted, onUri, this, [this] { drainOrders(); }, [this] { abandonAll(); }})
+        , m_server(settings.m_listen, callbacks(), limitsFrom(settings))
         , m_orders(OrderCapacity, [this] { m_server.wake(); })
     {
     }
@@ -118,28 +113,81 @@
         return m_orders;
     }
 
+    void announceStop()
+    {
+        m_announcesStop.store(true);
+    }
+
     void stop()
     {
-        m_server.stop();
+        constexpr Duration FinishLimit = std::chrono::seconds(5);
+        m_server.stop(FinishLimit);
+    }
+
+    [[nodiscard]] Reporting::Counters counters() const
+    {
+        Reporting::Counters counters = m_counters.snapshot();
+        Reporting::count(counters, "ring_refused{ring=\"caller-front\"}", m_orders.refused());
+        return counters;
     }
 
 private:
+    static detail::HttpServerLimits limitsFrom(const Settings::CallerSettings &settings)
+    {
+        // A request's header and its answer's have to fit at the same time.
+        constexpr std::size_t AnswerMemory = 24U << 10U; // bytes
+        detail::HttpServerLimits limits;
+        limits.m_connectionMemory = 2 * settings.m_headerLimit + AnswerMemory;
+        limits.m_connections = static_cast<unsigned>(settings.m_connectionLimit);
+        limits.m_headerTimeout = settings.m_headerTimeout;
+        limits.m_idleTimeout = settings.m_idleTimeout;
+        if (!settings.m_certificate.empty()) {
+            limits.m_certificate = detail::readFile(settings.m_certificate);
+            limits.m_key = detail::readFile(settings.m_key);
+        }
+        return limits;
+    }
+
+    detail::HttpServer::Callbacks callbacks()
+    {
+        detail::HttpServer::Callbacks callbacks;
+        callbacks.m_onRequest = onRequest;
+        callbacks.m_onCompleted = onCompleted;
+        callbacks.m_onUri = onUri;
+        callbacks.m_context = this;
+        callbacks.m_onWake = [this] { drainOrders(); };
+        callbacks.m_onStop = [this] { abandonAll(); };
+        callbacks.m_onHangUp = [this](void *request) { abandon(*static_cast<CallerExchange *>(request)); };
+        callbacks.m_isIdle = [this] { return m_openRequests == 0; };
+        return callbacks;
+    }
+
     /// Resumes everything so that the daemon can stop.
     void abandonAll()
     {
         for (auto &[id, exchange] : m_exchanges) {
             if (exchange->m_suspended) {
-                exchange->m_problem = Dispatch::Problem{HttpServiceUnavailable, ErrorId::RequestStopping, Dispatch::Outcome::Unknown, "the host stopped", {}};
-                resume(*exchange);
+                abandon(*exchange);
             }
         }
     }
 
+    /// Lets libmicrohttpd close the connection of a suspended request, which tells the decision duty.
+    void abandon(CallerExchange &exchange)
+    {
+        exchange.m_gone = true;
+        m_counters.count("callers_gone");
+        resume(exchange);
+    }
+
     static constexpr std::size_t OrderCapacity = 16384;
 
-    static void *onUri(void * /*context*/, const char *uri, MHD_Connection *connection)
+    static void *onUri(void *context, const char *uri, MHD_Connection *connection)
     {
+        auto *front = static_cast<Implementation *>(context);
         auto exchange = std::make_unique<CallerExchange>();
+        ++front->m_openRequests;
+        exchange->m_server = &front->m_server;
         exchange->m_connection = connection;
         exchange->m_target = uri;
         return exchange.release();
@@ -149,7 +197,7 @@
                                 MHD_Connection * /*connection*/,
                                 const char * /*url*/,
                                 const char *method,
-                                const char * /*version*/,
+                                const char *version,
                                 const char *upload,
                                 size_t *uploadSize,
                                 void **state)
@@ -157,22 +205,27 @@
         auto *front = static_cast<Implementation *>(context);
         auto *exchange = static_cast<CallerExchange *>(*state);
         if (!exchange->m_request) {
-            return front->beginRequest(*exchange, method);
+            return front->beginRequest(*exchange, method, version);
         }
         if (*uploadSize > 0) {
-            front->addBody(*exchange, upload, *uploadSize);
+            const bool mayGoOn = front->addBody(*exchange, upload, *uploadSize);
             *uploadSize = 0;
-            return MHD_YES;
+            return mayGoOn ? MHD_YES : MHD_NO;
         }
         return front->continueRequest(*exchange);
     }
 
-    static void onCompleted(void *context, MHD_Connection * /*connection*/, void **state, MHD_RequestTerminationCode code)
+    static void onCompleted(void *context, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code)
     {
         auto *front = static_cast<Implementation *>(context);
         const std::unique_ptr<CallerExchange> exchange(static_cast<CallerExchange *>(*state));
         *state = nullptr;
-        if (!exchange || !exchange->m_handedOver) {
+        if (!exchange) {
+            return;
+        }
+        --front->m_openRequests;
+        front->m_server.setTimeLimit(connection, front->m_settings.m_idleTimeout);
+        if (!exchange->m_handedOver) {
             return;
         }
         front->m_exchanges.erase(exchange->m_id);
@@ -196,9 +249,11 @@
             if (got == 0 && state == BodyState::CutShort) {
                 return MHD_CONTENT_READER_END_WITH_ERROR;
             }
+            if (got == 0 && exchange->m_gone) {
+                return MHD_CONTENT_READER_END_WITH_ERROR;
+            }
             if (got == 0) {
-                exchange->m_suspended = true;
-                MHD_suspend_connection(exchange->m_connection);
+                suspend(*exchange);
                 return 0;
             }
             stream.m_readerWaits.store(false);
@@ -209,60 +264,63 @@
         return static_cast<ssize_t>(got);
     }
 
-    MHD_Result beginRequest(CallerExchange &exchange, const char *method)
+    MHD_Result beginRequest(CallerExchange &exchange, const char *method, const char *version)
     {
+        m_server.setTimeLimit(exchange.m_connection, m_settings.m_bodyTimeout);
         exchange.m_request = std::make_shared<CallerRequest>();
         exchange.m_request->m_method = method;
-        exchange.m_request->m_target = exchange.m_target;
-        const auto headers = detail::headersOf(exchange.m_connection);
-        if (hasSmugglingShape(headers) || !exchange.m_target.starts_with('/')) {
-            return answer(exchange, {HttpBadRequest, ErrorId::RequestMalformed, Dispatch::Outcome::NotRun, "the request has an ambiguous form", {}});
+        detail::RequestHead head{method, exchange.m_target, version, {}};
+        for (auto &[name, value] : detail::headersOf(exchange.m_connection)) {
+            head.m_headers.push_back({std::move(name), std::move(value)});
+        }
+        if (const auto problem = detail::checkHead(head, m_settings)) {
+            return refuse(exchange, *problem);
         }
-        Headers kept;
-        for (const auto &[name, value] : headers) {
-            if (sameName(name, "Authorization")) {
-                exchange.m_authorization = value;
-            } else if (sameName(name, "Idempotency-Key")) {
-                exchange.m_idempotencyKey = value;
-                kept.push_back({name, value});
-            } else {
-                kept.push_back({name, value});
+        for (const Header &header : head.m_headers) {
+            if (sameName(header.m_name, "Authorization")) {
+                exchange.m_authorization = header.m_value;
+            } else if (sameName(header.m_name, "Idempotency-Key")) {
+                exchange.m_idempotencyKey = header.m_value;
             }
         }
-        exchange.m_request->m_headers = headersForServer(kept, exchange.m_authorization);
+        exchange.m_secret = detail::secretOf(exchange.m_authorization);
+        exchange.m_request->m_target = *detail::normalizeTarget(exchange.m_target);
+        if (detail::carriesSecret(exchange.m_request->m_target, exchange.m_secret)) {
+            return refuse(exchange, {HttpBadRequest, ErrorId::RequestMalformed, Dispatch::Outcome::NotRun, "the target must not hold the workspace key", {}});
+        }
+        exchange.m_request->m_headers = detail::headersForServer(head.m_headers, exchange.m_secret);
         return MHD_YES;
     }
 
-    /// Leaves out hop-by-hop headers, and every header that carries the caller's key.
-    static Headers headersForServer(const Headers &headers, const std::string &authorization)
+    /// Refuses a request of which the body wasn't read, or whose end isn't sure, and closes the connection.
+    MHD_Result refuse(const CallerExchange &exchange, const Dispatch::Problem &problem)
     {
-        const std::size_t space = authorization.find(' ');
-        const std::string key = space == std::string::npos ? std::string() : authorization.substr(space + 1);
-        Headers kept;
-        for (const Header &header : endToEndHeaders(headers)) {
-            const bool carriesKey = !key.empty() && header.m_value.find(key) != std::string::npos;
-            const bool isOurs = sameName(header.m_name, "Content-Length") || sameName(header.m_name, "Expect");
-            if (!carriesKey && !isOurs) {
-                kept.push_back(header);
-            }
-        }
-        return kept;
+        m_counters.count("requests_refused_unread{id=\"" + toString(problem.m_id) + "\"}");
+        return answer(exchange, problem, true);
     }
 
-    void addBody(CallerExchange &exchange, const char *data, std::size_t size) const
+    /// Adds to the body; returns whether the caller may go on sending.
+    bool addBody(CallerExchange &exchange, const char *data, std::size_t size) const
     {
+        constexpr std::uint64_t DiscardLimit = 1U << 20U; // bytes
         std::string &body = exchange.m_request->m_body;
-        if (body.size() + size > m_settings.m_bodyLimit) {
+        if (exchange.m_tooLarge || body.size() + size > m_settings.m_bodyLimit) {
+            // libmicrohttpd takes no answer before the end of the body, so some more of it is read and thrown away.
             exchange.m_tooLarge = true;
-            return;
+            exchange.m_discarded += size;
+            return exchange.m_discarded <= DiscardLimit;
         }
         body.append(data, size);
+        return true;
     }
 
     MHD_Result continueRequest(CallerExchange &exchange)
     {
+        if (exchange.m_gone) {
+            return MHD_NO;
+        }
         if (exchange.m_tooLarge) {
-            return answer(exchange, {HttpTooLarge, ErrorId::RequestTooLarge, Dispatch::Outcome::NotRun, "the body is larger than this host takes", {}});
+            return refuse(exchange, {HttpTooLarge, ErrorId::RequestTooLarge, Dispatch::Outcome::NotRun, "the body is larger than this host takes", {}});
         }
         if (exchange.m_stream) {
             return sendStream(exchange);
@@ -275,13 +333,17 @@
 
     MHD_Result handOver(CallerExchange &exchange)
     {
+        if (detail::carriesSecret(exchange.m_request->m_body, exchange.m_secret)) {
+            return refuse(exchange, {HttpBadRequest, ErrorId::RequestMalformed, Dispatch::Outcome::NotRun, "the body must not hold the workspace key", {}});
+        }
+        m_server.removeTimeLimit(exchange.m_connection);
         exchange.m_id = ++m_lastExchange;
         exchange.m_onSpace = &m_onSpace;
         Node::RequestArrived event;
         event.m_exchange = exchange.m_id;
         event.m_method = exchange.m_request->m_method;
-        event.m_target = exchange.m_target;
-        event.m_path = exchange.m_target.substr(0, exchange.m_target.find('?'));
+        event.m_target = exchange.m_request->m_target;
+        event.m_path = event.m_target.substr(0, event.m_target.find('?'));
         event.m_authorization = exchange.m_authorization;
         event.m_idempotencyKey = exchange.m_idempotencyKey;
         event.m_bodyDigest = sha256(exchange.m_request->m_body);
@@ -290,21 +352,25 @@
         }
         exchange.m_handedOver = true;
         m_exchanges.emplace(exchange.m_id, &exchange);
-        exchange.m_suspended = true;
-        MHD_suspend_connection(exchange.m_connection);
+        suspend(exchange);
         return MHD_YES;
     }
 
-    static MHD_Result answer(const CallerExchange &exchange, const Dispatch::Problem &problem)
+    MHD_Result answer(const CallerExchange &exchange, const Dispatch::Problem &problem, bool closes = false)
     {
+        m_server.setTimeLimit(exchange.m_connection, m_settings.m_answerTimeout);
         MHD_Response *response = makeProblemResponse(problem);
+        if (closes || m_announcesStop.load()) {
+            MHD_add_response_header(response, "Connection", "close");
+        }
         const MHD_Result result = MHD_queue_response(exchange.m_connection, problem.m_status, response);
         MHD_destroy_response(response);
         return result;
     }
 
-    static MHD_Result sendStream(CallerExchange &exchange)
+    MHD_Result sendStream(CallerExchange &exchange)
     {
+        m_server.setTimeLimit(exchange.m_connection, m_settings.m_answerTimeout);
         constexpr std::size_t BlockSize = 16U << 10U; // bytes
         const AnswerStream &stream = *exchange.m_stream;
         const std::uint64_t length =
@@ -313,16 +379,25 @@
         for (const Header &header : stream.m_headers) {
             MHD_add_response_header(response, header.m_name.c_str(), header.m_value.c_str());
         }
+        if (m_announcesStop.load()) {
+            MHD_add_response_header(response, "Connection", "close");
+        }
         const MHD_Result result = MHD_queue_response(exchange.m_connection, stream.m_status, response);
         MHD_destroy_response(response);
         return result;
     }
 
+    static void suspend(CallerExchange &exchange)
+    {
+        exchange.m_suspended = true;
+        exchange.m_server->suspend(exchange.m_connection, &exchange);
+    }
+
     static void resume(CallerExchange &exchange)
     {
         if (exchange.m_suspended) {
             exchange.m_suspended = false;
-            MHD_resume_connection(exchange.m_connection);
+            exchange.m_server->resume(exchange.m_connection);
         }
     }
 
@@ -350,6 +425,9 @@
     std::function<void(Node::AttemptId)> m_onSpace;
     std::map<Node::ExchangeId, CallerExchange *> m_exchanges;
     Node::ExchangeId m_lastExchange = 0;
+    std::size_t m_openRequests = 0;
+    std::atomic<bool> m_announcesStop{false};
+    SharedCounters m_counters;
     detail::HttpServer m_server;
     Ring<FrontOrder> m_orders;
 };
@@ -369,6 +447,16 @@
     m_implementation->server().start("caller-front");
 }
 
+void CallerFront::announceStop()
+{
+    m_implementation->announceStop();
+}
+
+Reporting::Counters CallerFront::counters() const
+{
+    return m_implementation->counters();
+}
+
 void CallerFront::stop()
 {
     m_implementation->stop();
--- a/src/runtime/decisionduty.cpp
+++ b/src/runtime/decisionduty.cpp
@@ -103,11 +103,16 @@
         handle(local);
     }
     if (const auto *ended = std::get_if<Node::AttemptEnded>(&event)) {
-        const std::lock_guard lock(m_forwardedMutex);
-        m_forwarded.erase(ended->m_attempt);
+        forgetForwarded(ended->m_attempt);
     }
 }
 
+void DecisionDuty::forgetForwarded(Node::AttemptId attempt)
+{
+    const std::lock_guard lock(m_forwardedMutex);
+    m_forwarded.erase(attempt);
+}
+
 void DecisionDuty::perform(const Node::Action &action)
 {
     std::visit(
@@ -117,6 +122,7 @@
                 startAttempt(typed);
             } else if constexpr (std::is_same_v<Type, Node::CancelAttempt>) {
                 m_streams.erase(typed.m_attempt);
+                forgetForwarded(typed.m_attempt);
                 m_backends->orders().push(CancelRequest{typed.m_attempt});
             } else if constexpr (std::is_same_v<Type, Node::ForwardAnswer>) {
                 forwardAnswer(typed);
@@ -183,6 +189,11 @@
     }
 }
 
+Reporting::Counters DecisionDuty::counters() const
+{
+    return {{"ring_refused{ring=\"decision\"}", m_inputs.refused()}};
+}
+
 void DecisionDuty::onSpace(Node::AttemptId attempt)
 {
     m_backends->orders().push(SpaceReady{attempt});
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -5,6 +5,7 @@
 
 #include <future>
 #include <random>
+#include <sys/resource.h>
 
 namespace RagwortRelay::Runtime {
 
@@ -31,6 +32,15 @@
     return node;
 }
 
+/// Lets the process open as many sockets as the system allows it.
+void raiseDescriptorLimit()
+{
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -47,7 +57,7 @@
         , m_nodeSettings(nodeSettingsFrom(settings, m_listener))
         , m_decisions(m_nodeSettings, randomSeed())
         , m_callers(settings.m_callers, m_decisions.inputs(), [this](Node::AttemptId attempt) { m_decisions.onSpace(attempt); })
-        , m_backends(m_decisions.inputs(), [this](Node::AttemptId attempt) { m_decisions.onBytes(attempt); })
+        , m_backends(settings.m_backends, m_decisions.inputs(), [this](Node::AttemptId attempt) { m_decisions.onBytes(attempt); })
         , m_platform(settings.m_platform, m_decisions.inputs())
         , m_operators(settings.m_operators, m_decisions.inputs())
         , m_peers(settings.m_peers, m_listener, settings.m_host.m_name, m_nodeSettings.m_incarnation, m_decisions.inputs())
@@ -67,6 +77,7 @@
 
     void askToStop()
     {
+        m_callers.announceStop();
         pushWaiting(m_decisions.inputs(), Node::StopAsked{});
     }
 
@@ -98,7 +109,11 @@
 
     [[nodiscard]] Reporting::Counters counters() const
     {
-        return m_peers.counters();
+        Reporting::Counters all = m_peers.counters();
+        all.merge(m_callers.counters());
+        all.merge(m_backends.counters());
+        all.merge(m_decisions.counters());
+        return all;
     }
 
 private:
@@ -115,6 +130,7 @@
 
 Host::Host(const Settings::Settings &settings)
 {
+    raiseDescriptorLimit();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     m_implementation = std::make_unique<Implementation>(settings);
 }
--- a/src/runtime/operatorfront.cpp
+++ b/src/runtime/operatorfront.cpp
@@ -123,7 +123,7 @@
         }
         m_exchanges.emplace(exchange.m_call, &exchange);
         exchange.m_suspended = true;
-        MHD_suspend_connection(exchange.m_connection);
+        m_server.suspend(exchange.m_connection, nullptr);
         return MHD_YES;
     }
 
@@ -160,12 +160,12 @@
         }
     }
 
-    static void resume(OperatorExchange &exchange, OperatorAnswer content)
+    void resume(OperatorExchange &exchange, OperatorAnswer content)
     {
         if (exchange.m_suspended) {
             exchange.m_suspended = false;
             exchange.m_answer = std::move(content);
-            MHD_resume_connection(exchange.m_connection);
+            m_server.resume(exchange.m_connection);
         }
     }
 
