--- a/include/ragwortrelay/health/decider.h
+++ b/include/ragwortrelay/health/decider.h
@@ -71,6 +71,7 @@
     std::uint64_t m_incarnation = 0;
     Duration m_sentAt{}; ///< Of its last report, by its clock.
     TimePoint m_heardAt;
+    std::uint32_t m_knownHosts = 0;
     TimePoint m_supportsUntil; ///< Until then it reports to no other host.
     bool m_hasTraffic = false;
 };
--- a/src/health/decider.cpp
+++ b/src/health/decider.cpp
@@ -15,6 +15,7 @@
 constexpr Duration DrainingLifetime = std::chrono::seconds(10);
 constexpr Duration AdoptionTime = std::chrono::seconds(10); ///< After the begin of a term, for verdicts of the one before.
 constexpr Duration ClockMargin = std::chrono::milliseconds(200); ///< For clocks that run at different speeds during a lease.
+constexpr Duration SupporterLifetime = std::chrono::minutes(10);
 constexpr std::size_t MostOrigins = 512;
 constexpr std::size_t MostAccusers = 64;
 constexpr double MostThresholds = 2.0; ///< The suspicion grows no further than this many times its threshold.
@@ -384,6 +385,19 @@
     return !ejected.empty();
 }
 
+/// Forgets hosts that are silent for long, and what they thought the fleet to be.
+void forgetSupporters(DecidingState &state, TimePoint now)
+{
+    const std::size_t forgotten = std::erase_if(state.m_supporters, [now](const auto &entry) { return now - entry.second.m_heardAt > SupporterLifetime; });
+    if (forgotten == 0) {
+        return;
+    }
+    state.m_knownHosts = 1;
+    for (const auto &[host, supporter] : state.m_supporters) {
+        state.m_knownHosts = std::max(state.m_knownHosts, supporter.m_knownHosts);
+    }
+}
+
 std::vector<HostId> observersOf(const DecidingState &state, TimePoint now)
 {
     constexpr std::size_t MostObservers = 4;
@@ -431,6 +445,7 @@
     supporter.m_sentAt = report.m_sentAt;
     supporter.m_heardAt = now;
     supporter.m_hasTraffic = !evidence.m_servers.empty();
+    supporter.m_knownHosts = report.m_knownHosts;
     state.m_knownHosts = std::max(state.m_knownHosts, report.m_knownHosts);
     adoptHeld(state, settings, from, evidence, now);
     for (const ServerEvidence &server : evidence.m_servers) {
@@ -441,6 +456,7 @@
 
 bool decide(DecidingState &state, const HealthSettings &settings, const ServiceView &view, TimePoint now)
 {
+    forgetSupporters(state, now);
     std::set<ServerId> known;
     for (const ServerView &server : view.m_servers) {
         known.insert(server.m_server);
