--- a/include/ragwortrelay/balancing/balancer.h
+++ b/include/ragwortrelay/balancing/balancer.h
@@ -29,7 +29,7 @@
     Policy m_policy = Policy::Estimated;
     Duration m_shedHold{std::chrono::milliseconds(15)}; ///< A server that shed isn't picked for this long.
     Duration m_slowStart{std::chrono::seconds(10)}; ///< A cold server gets its full part only after this time.
-    Duration m_drainHold{std::chrono::seconds(30)}; ///< A server that reported to be draining isn't picked for this long.
+    Duration m_drainHold{std::chrono::seconds(60)}; ///< A server that reported to be draining isn't picked for this long.
     std::uint32_t m_connectionsAtMost = 300; ///< That one server should get from all hosts together.
 
     friend bool operator==(const BalancerSettings &, const BalancerSettings &) = default;
--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -10,7 +10,7 @@
 void onCallerGone(Node &node, const CallerGone &gone, Actions &actions);
 void onAttemptAnswered(Node &node, const AttemptAnswered &answer, TimePoint now, Actions &actions);
 void onAttemptFailed(Node &node, const AttemptFailed &failure, TimePoint now, Actions &actions);
-void onAttemptEnded(Node &node, const AttemptEnded &ended);
+void onAttemptEnded(Node &node, const AttemptEnded &ended, TimePoint now);
 
 /// Takes a request through its steps until one waits or the request is answered.
 void advance(Node &node, ExchangeId id, TimePoint now, Actions &actions);
@@ -56,6 +56,33 @@
 /// Does what is due by time: heartbeats, leases.
 void tickMembership(Node &node, TimePoint now, Actions &actions);
 
+// Health
+
+/// Takes in how a running attempt was answered, before the attempt is finished.
+void noteAnswered(Node &node, const AttemptAnswered &answer, TimePoint now);
+
+/// Takes in how an attempt failed. Its exchange may be gone.
+void noteFailed(Node &node, const Attempt &attempt, Dispatch::AttemptFailure failure, TimePoint now);
+
+/// Returns how the servers of a service may be used; servers that aren't listed are usable.
+std::map<ServerId, Balancing::Standing> standingsOf(const Node &node, const ServiceId &service, TimePoint now);
+
+/// Returns an ejected server that should get this request as a trial.
+std::optional<ServerId> takeTrialServer(Node &node, const Exchange &exchange, TimePoint now);
+
+/// Reports, decides and reads the platform's list when that is due.
+void tickHealth(Node &node, TimePoint now, Actions &actions);
+
+/// Takes in that another host was heard of.
+void noteHeard(Node &node, const PeerSpoke &spoke, TimePoint now);
+
+void onEvidenceReport(Node &node, const PeerSpoke &spoke, const Health::EvidenceReport &report, TimePoint now, Actions &actions);
+void onServiceVerdicts(Node &node, const PeerSpoke &spoke, const Health::ServiceVerdicts &verdicts, TimePoint now);
+void onTargetsListed(Node &node, const Platform::Result &result);
+
+/// Returns the hosts of the fleet, this one included, in the order of their names.
+std::vector<FleetHost> fleetHosts(const Node &node, TimePoint now);
+
 // Configuration
 
 /// Starts a read of the changes when the last one is old enough.
--- a/include/ragwortrelay/health/decider.h
+++ b/include/ragwortrelay/health/decider.h
@@ -66,6 +66,13 @@
     FadingSums m_sums;
 };
 
+/// Evidence of one host on one server that waits to be weighed against that on its peers.
+struct WindowEntry {
+    HostId m_from;
+    ServerEvidence m_evidence; ///< Without samples.
+    double m_ownFailures = 0.0; ///< Failures that are not bound to a request or a workspace.
+};
+
 /// A host that reports to this one.
 struct Supporter {
     std::uint64_t m_incarnation = 0;
@@ -89,6 +96,8 @@
     std::uint32_t m_knownHosts = 1;
     std::map<HostId, Supporter> m_supporters;
     std::map<ServerId, ServerRecord> m_servers;
+    std::vector<WindowEntry> m_window; ///< Weighed together, so that what befalls all servers at once is no outlier.
+    TimePoint m_windowSince;
     std::map<std::uint32_t, FailureOrigin> m_requests;
     std::map<std::uint32_t, FailureOrigin> m_workspaces;
 };
--- a/include/ragwortrelay/health/follower.h
+++ b/include/ragwortrelay/health/follower.h
@@ -17,6 +17,7 @@
     HostId m_decider;
     std::uint64_t m_incarnation = 0; ///< Life of the deciding host.
     std::optional<TimePoint> m_reportedAt; ///< To this deciding host.
+    TimePoint m_boundUntil; ///< Until then this host reports to no other deciding host.
     Duration m_echo{}; ///< Sending time of the last verdicts, by the deciding host's clock; 0 for none.
     TimePoint m_receivedAt;
     TimePoint m_validUntil; ///< End of the ejections.
@@ -34,6 +35,9 @@
 /// Not thread-safe on one state, like all functions on it.
 bool follow(Following &following, const HealthSettings &settings, const HostId &decider, std::uint64_t incarnation, TimePoint startedAt, TimePoint now);
 
+/// Binds this host to the deciding host from a report that is sent now. Precondition: follow() allowed the report.
+void noteReported(Following &following, const HealthSettings &settings, TimePoint now);
+
 /// Takes in verdicts; returns false when they are not of the deciding host that this host follows, or older than others.
 bool takeVerdicts(Following &following, const HostId &from, std::uint64_t incarnation, const ServiceVerdicts &verdicts, TimePoint now);
 
@@ -43,4 +47,7 @@
 /// Returns a server to which this host should send its next idempotent request as a trial, and takes note of that.
 std::optional<ServerId> takeTrial(Following &following, const HealthSettings &settings, const HostId &self, TimePoint now);
 
+/// Ends the trial of a server by this host after one of its requests failed there.
+void noteTrialFailed(Following &following, const HealthSettings &settings, const ServerId &server, TimePoint now);
+
 }
--- a/include/ragwortrelay/health/messages.h
+++ b/include/ragwortrelay/health/messages.h
@@ -98,6 +98,7 @@
 struct EvidenceReport {
     std::uint64_t m_toIncarnation = 0; ///< Life of the receiver that the report is meant for.
     Duration m_sentAt{}; ///< By the sender's clock.
+    Duration m_supportFor{}; ///< The support lease.
     std::uint32_t m_knownHosts = 0; ///< Hosts that the sender takes to belong to the fleet.
     std::vector<ServiceEvidence> m_services;
 
@@ -106,7 +107,7 @@
     /// Returns the fields in the order of the wire format.
     static auto fields(auto &self)
     {
-        return std::tie(self.m_toIncarnation, self.m_sentAt, self.m_knownHosts, self.m_services);
+        return std::tie(self.m_toIncarnation, self.m_sentAt, self.m_supportFor, self.m_knownHosts, self.m_services);
     }
 };
 
--- /dev/null
+++ b/include/ragwortrelay/node/healthstate.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/core/time.h>
+#include <ragwortrelay/health/decider.h>
+#include <ragwortrelay/health/evidence.h>
+#include <ragwortrelay/health/follower.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace RagwortRelay::Node {
+
+/// What the health duty needs to know of another host of the fleet.
+struct FleetHost {
+    HostId m_host;
+    std::string m_address; ///< `IP:PORT`
+    std::uint64_t m_incarnation = 0;
+    bool m_isLive = false; ///< Heard of late and not leaving; it may decide.
+
+    friend bool operator==(const FleetHost &, const FleetHost &) = default;
+};
+
+/// When another host was heard of last, in which life of it.
+struct HeardHost {
+    TimePoint m_at;
+    std::uint64_t m_incarnation = 0;
+    bool m_isLeaving = false;
+
+    friend bool operator==(const HeardHost &, const HeardHost &) = default;
+};
+
+/// What a host holds to judge the health of backend servers.
+struct HealthState {
+    Health::EvidenceBook m_book;
+    std::map<ServiceId, Health::Following> m_following;
+    std::map<ServiceId, Health::DecidingState> m_deciding; ///< Of the services that this host decides for.
+    std::set<ServerId> m_leaving; ///< Backend servers by the platform's list.
+    std::map<ServiceId, HostId> m_deciders; ///< Chosen for `m_decidersAmong` and `m_decidersVersion`.
+    std::vector<HostId> m_decidersAmong;
+    std::uint64_t m_decidersVersion = 0;
+    std::optional<TimePoint> m_startedAt;
+    std::optional<TimePoint> m_reportedAt;
+    std::optional<TimePoint> m_decidedAt;
+    std::optional<TimePoint> m_listedAt;
+    bool m_listRuns = false;
+
+    std::map<HostId, FleetHost> m_listed; ///< By the platform's list.
+    std::map<HostId, HeardHost> m_heard;
+    std::optional<TimePoint> m_heartbeatAt;
+    std::uint64_t m_heartbeats = 0;
+};
+
+}
--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -3,9 +3,11 @@
 #include <ragwortrelay/balancing/balancer.h>
 #include <ragwortrelay/configuration/catalogue.h>
 #include <ragwortrelay/core/random.h>
+#include <ragwortrelay/health/settings.h>
 #include <ragwortrelay/limits/tokenbucket.h>
 #include <ragwortrelay/node/action.h>
 #include <ragwortrelay/node/event.h>
+#include <ragwortrelay/node/healthstate.h>
 #include <ragwortrelay/node/placement.h>
 #include <ragwortrelay/reporting/counters.h>
 #include <ragwortrelay/reporting/servicelevel.h>
@@ -30,6 +32,7 @@
 
     Balancing::BalancerSettings m_balancing;
     Balancing::QueueSettings m_queue;
+    Health::HealthSettings m_health;
 
     friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
 };
@@ -59,6 +62,7 @@
     AttemptId m_attempt = 0; ///< The one that may answer the caller.
     std::uint32_t m_attempts = 0;
     std::set<ServerId> m_tried;
+    std::vector<ServerId> m_failedAt; ///< Servers that failed it.
     std::vector<ServerId> m_shedBy; ///< Servers that shed it since it last waited for its turn.
     std::optional<TimePoint> m_placeBefore; ///< Set when it first waits for its turn.
 };
@@ -68,11 +72,13 @@
     ExchangeId m_exchange = 0;
     ServerId m_server;
     TimePoint m_startedAt;
+    bool m_isTimed = false; ///< Its time is in the evidence, since it ran for far too long.
 };
 
 /// What a call to the platform was for.
 enum class PlatformPurpose : std::uint8_t {
     PollChanges,
+    ListTargets,
     AppendChange,
     StoreServiceLevels,
     ReadServiceLevels,
@@ -121,6 +127,7 @@
     std::map<WorkspaceId, Limits::TokenBucket> m_buckets;
     Balancing::Balancer m_balancer;
     Placement m_placement;
+    HealthState m_health;
     std::map<ExchangeId, Exchange> m_exchanges;
     std::map<AttemptId, Attempt> m_attempts;
     std::map<PlatformCallId, PendingCall> m_calls;
--- a/src/health/decider.cpp
+++ b/src/health/decider.cpp
@@ -12,10 +12,14 @@
 constexpr Duration SumsHalfLife = std::chrono::seconds(20);
 constexpr Duration OriginLifetime = std::chrono::seconds(30);
 constexpr Duration UnreachableLifetime = std::chrono::seconds(5);
-constexpr Duration DrainingLifetime = std::chrono::seconds(10);
+constexpr Duration DrainingLifetime = std::chrono::seconds(60);
 constexpr Duration AdoptionTime = std::chrono::seconds(10); ///< After the begin of a term, for verdicts of the one before.
 constexpr Duration ClockMargin = std::chrono::milliseconds(200); ///< For clocks that run at different speeds during a lease.
 constexpr Duration SupporterLifetime = std::chrono::minutes(10);
+constexpr Duration WindowTime = std::chrono::milliseconds(500);
+constexpr Duration LongestWindow = std::chrono::seconds(5); ///< When there is evidence on too few servers.
+constexpr std::size_t ServersInWindow = 3; ///< With evidence, before they are compared.
+constexpr std::size_t MostInWindow = 8192;
 constexpr std::size_t MostOrigins = 512;
 constexpr std::size_t MostAccusers = 64;
 constexpr double MostThresholds = 2.0; ///< The suspicion grows no further than this many times its threshold.
@@ -51,6 +55,15 @@
     sums.m_updatedAt = now;
 }
 
+void addToSums(FadingSums &sums, const ServerEvidence &evidence)
+{
+    sums.m_runs += evidence.m_succeeded + evidence.m_failed;
+    sums.m_failures += evidence.m_failed;
+    sums.m_timed += evidence.m_timed;
+    sums.m_logTimes += evidence.m_logTimes;
+    sums.m_squaredLogTimes += evidence.m_squaredLogTimes;
+}
+
 /// Returns the middle value, of two the lower one; 0 for no values.
 double lowerMedian(std::vector<double> values)
 {
@@ -62,19 +75,17 @@
     return *middle;
 }
 
-Peers peersOf(const DecidingState &state)
+/// Returns the medians over servers with at least so many runs and timed answers.
+Peers mediansOf(const std::vector<FadingSums> &servers, double leastRuns, double leastTimed)
 {
-    constexpr double LeastRuns = 2.0;
-    constexpr double LeastTimed = 3.0;
     std::vector<double> rates;
     std::vector<double> times;
     std::vector<double> variances;
-    for (const auto &[id, record] : state.m_servers) {
-        const FadingSums &sums = record.m_sums;
-        if (sums.m_runs >= LeastRuns) {
+    for (const FadingSums &sums : servers) {
+        if (sums.m_runs >= leastRuns) {
             rates.push_back(sums.m_failures / sums.m_runs);
         }
-        if (sums.m_timed >= LeastTimed) {
+        if (sums.m_timed >= leastTimed) {
             const double mean = sums.m_logTimes / sums.m_timed;
             times.push_back(mean);
             variances.push_back(sums.m_squaredLogTimes / sums.m_timed - mean * mean);
@@ -83,6 +94,30 @@
     return {lowerMedian(rates), lowerMedian(times), lowerMedian(variances), times.size()};
 }
 
+/// Returns the higher of the medians of late and of those in the window itself.
+Peers peersOf(const DecidingState &state)
+{
+    constexpr double LeastRuns = 2.0;
+    constexpr double LeastTimed = 3.0;
+    std::vector<FadingSums> ofLate;
+    for (const auto &[id, record] : state.m_servers) {
+        ofLate.push_back(record.m_sums);
+    }
+    std::map<ServerId, FadingSums> inWindow;
+    for (const WindowEntry &entry : state.m_window) {
+        addToSums(inWindow[entry.m_evidence.m_server], entry.m_evidence);
+    }
+    std::vector<FadingSums> ofWindow;
+    for (const auto &[id, sums] : inWindow) {
+        ofWindow.push_back(sums);
+    }
+    Peers peers = mediansOf(ofLate, LeastRuns, LeastTimed);
+    const Peers now = mediansOf(ofWindow, 1.0, 1.0);
+    peers.m_failureRate = std::max(peers.m_failureRate, now.m_failureRate);
+    peers.m_logTime = now.m_timedServers > 0 ? std::max(peers.m_logTime, now.m_logTime) : peers.m_logTime;
+    return peers;
+}
+
 FailureOrigin &originOf(std::map<std::uint32_t, FailureOrigin> &origins, std::uint32_t hash, TimePoint now)
 {
     if (origins.size() >= MostOrigins) {
@@ -165,16 +200,6 @@
     return evidence.m_timed * (shift / variance) * (distance - shift / 2.0);
 }
 
-void addToSums(FadingSums &sums, const ServerEvidence &evidence, TimePoint now)
-{
-    fade(sums, now);
-    sums.m_runs += evidence.m_succeeded + evidence.m_failed;
-    sums.m_failures += evidence.m_failed;
-    sums.m_timed += evidence.m_timed;
-    sums.m_logTimes += evidence.m_logTimes;
-    sums.m_squaredLogTimes += evidence.m_squaredLogTimes;
-}
-
 void clearSuspicion(ServerRecord &record)
 {
     record.m_failureSuspicion = 0.0;
@@ -237,20 +262,57 @@
 void takeServerEvidence(DecidingState &state, const HealthSettings &settings, const HostId &from, const ServerEvidence &evidence, TimePoint now)
 {
     ServerRecord &record = state.m_servers[evidence.m_server];
-    const Peers peers = peersOf(state);
-    const double failed = ownFailures(state, record, evidence, now);
-    const double slowness = isBefore(now, record.m_coldUntil) ? 0.0 : slownessChange(settings, peers, evidence);
     noteReachability(record, settings, from, evidence, now);
+    if (state.m_window.size() >= MostInWindow) {
+        return;
+    }
+    if (state.m_window.empty()) {
+        state.m_windowSince = now;
+    }
+    WindowEntry entry{from, evidence, ownFailures(state, record, evidence, now)};
+    entry.m_evidence.m_samples.clear();
+    state.m_window.push_back(std::move(entry));
+}
+
+/// Weighs one entry of the window; returns whether the state of its server has changed.
+bool weigh(DecidingState &state, const HealthSettings &settings, const Peers &peers, const WindowEntry &entry, TimePoint now)
+{
+    ServerRecord &record = state.m_servers[entry.m_evidence.m_server];
+    const double slowness = isBefore(now, record.m_coldUntil) ? 0.0 : slownessChange(settings, peers, entry.m_evidence);
     switch (record.m_state) {
     case ServerState::InUse:
-        addToSums(record.m_sums, evidence, now);
-        weighInUse(record, settings, from, failureChange(settings, peers, failed, evidence.m_succeeded), slowness);
-        return;
+        fade(record.m_sums, now);
+        addToSums(record.m_sums, entry.m_evidence);
+        weighInUse(record, settings, entry.m_from, failureChange(settings, peers, entry.m_ownFailures, entry.m_evidence.m_succeeded), slowness);
+        return false;
     case ServerState::Trial:
-        return weighTrial(record, evidence, slowness, now);
+        weighTrial(record, entry.m_evidence, slowness, now);
+        return record.m_state != ServerState::Trial;
     case ServerState::Ejected:
-        return; // Of requests that were sent before.
+        return false; // Of requests that were sent before.
+    }
+    return false;
+}
+
+/// Weighs the evidence of the window once there is enough to compare servers; returns whether the state of one has changed.
+bool weighWindow(DecidingState &state, const HealthSettings &settings, const ServiceView &view, TimePoint now)
+{
+    std::set<ServerId> servers;
+    for (const WindowEntry &entry : state.m_window) {
+        servers.insert(entry.m_evidence.m_server);
     }
+    const Duration age = now - state.m_windowSince;
+    const bool hasEnough = servers.size() >= std::min(ServersInWindow, view.m_servers.size());
+    if (state.m_window.empty() || age < WindowTime || (!hasEnough && age < LongestWindow)) {
+        return false;
+    }
+    const Peers peers = peersOf(state);
+    bool changed = false;
+    for (const WindowEntry &entry : state.m_window) {
+        changed = weigh(state, settings, peers, entry, now) || changed;
+    }
+    state.m_window.clear();
+    return changed;
 }
 
 /// Takes over the ejections of the deciding host before this one, as if their evidence had come again.
@@ -439,7 +501,7 @@
         return false;
     }
     const bool isSameLife = incarnation == supporter.m_incarnation;
-    const TimePoint echoed = evidence.m_echo > Duration(0) ? TimePoint(evidence.m_echo) + settings.m_supportLease - ClockMargin : TimePoint();
+    const TimePoint echoed = evidence.m_echo > Duration(0) ? TimePoint(evidence.m_echo) + report.m_supportFor - ClockMargin : TimePoint();
     supporter.m_supportsUntil = isSameLife ? std::max(supporter.m_supportsUntil, echoed) : echoed;
     supporter.m_incarnation = incarnation;
     supporter.m_sentAt = report.m_sentAt;
@@ -462,10 +524,12 @@
         known.insert(server.m_server);
     }
     std::erase_if(state.m_servers, [&known](const auto &entry) { return !known.contains(entry.first); });
+    std::erase_if(state.m_window, [&known](const WindowEntry &entry) { return !known.contains(entry.m_evidence.m_server); });
+    const bool weighed = weighWindow(state, settings, view, now);
     const bool advanced = advanceStates(state, settings, now);
     const bool withdrawn = withdrawBelowFloor(state, settings, view, now);
     const bool ejected = ejectSick(state, settings, view, now);
-    return advanced || withdrawn || ejected;
+    return weighed || advanced || withdrawn || ejected;
 }
 
 std::optional<TimePoint> authorityUntil(const DecidingState &state, TimePoint now)
--- a/src/health/follower.cpp
+++ b/src/health/follower.cpp
@@ -33,8 +33,7 @@
     if (following.m_decider == decider && following.m_incarnation == incarnation) {
         return true;
     }
-    const TimePoint supportSince = following.m_reportedAt.value_or(startedAt);
-    if (now < supportSince + settings.m_supportLease) {
+    if (now < following.m_boundUntil || now < startedAt + settings.m_supportLease) {
         return false;
     }
     following.m_decider = decider;
@@ -46,6 +45,12 @@
     return true;
 }
 
+void noteReported(Following &following, const HealthSettings &settings, TimePoint now)
+{
+    following.m_reportedAt = now;
+    following.m_boundUntil = std::max(following.m_boundUntil, now + settings.m_supportLease);
+}
+
 bool takeVerdicts(Following &following, const HostId &from, std::uint64_t incarnation, const ServiceVerdicts &verdicts, TimePoint now)
 {
     const bool isFollowed = following.m_decider == from && following.m_incarnation == incarnation && following.m_reportedAt.has_value();
@@ -94,4 +99,12 @@
     return std::nullopt;
 }
 
+void noteTrialFailed(Following &following, const HealthSettings &settings, const ServerId &server, TimePoint now)
+{
+    const auto tried = following.m_triedAt.find(server);
+    if (tried != following.m_triedAt.end()) {
+        tried->second = now + settings.m_firstWait; // By then the deciding host has ended the trial.
+    }
+}
+
 }
--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -26,6 +26,8 @@
     switch (call.m_purpose) {
     case PlatformPurpose::PollChanges:
         return onChangesRead(node, answer.m_result, now, actions);
+    case PlatformPurpose::ListTargets:
+        return onTargetsListed(node, answer.m_result);
     case PlatformPurpose::AppendChange:
         return onChangeAppended(node, call, answer.m_result, now, actions);
     case PlatformPurpose::StoreServiceLevels:
@@ -70,6 +72,7 @@
 {
     pollConfiguration(node, now, actions);
     tickMembership(node, now, actions);
+    tickHealth(node, now, actions);
     storeServiceLevels(node, now, actions);
     advanceWaiting(node, now, actions);
     setReadiness(node, node.m_polledAt.has_value() && node.m_table.m_version > 0 && !node.m_stopAskedAt, actions);
@@ -104,7 +107,7 @@
             } else if constexpr (std::is_same_v<Type, AttemptFailed>) {
                 detail::onAttemptFailed(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, AttemptEnded>) {
-                detail::onAttemptEnded(node, typed);
+                detail::onAttemptEnded(node, typed, now);
             } else if constexpr (std::is_same_v<Type, PlatformAnswered>) {
                 detail::onPlatformAnswered(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, PeerSpoke>) {
--- a/src/node/placement.cpp
+++ b/src/node/placement.cpp
@@ -94,6 +94,9 @@
     query.m_host = node.m_settings.m_host;
     query.m_service = exchange.m_route.m_service;
     query.m_excluded = &exchange.m_tried;
+    query.m_hosts = node.m_health.m_listed.size();
+    const std::map<ServerId, Balancing::Standing> standings = standingsOf(node, query.m_service, now);
+    query.m_standings = &standings;
     return Balancing::pickServer(node.m_balancer, node.m_settings.m_balancing, node.m_catalogue, query, now, node.m_random);
 }
 
@@ -140,7 +143,8 @@
     if (!hasTurn && queue.m_size > 0) {
         return isQueued(node, id, exchange) ? Progress::Wait : waitForTurn(node, id, exchange, now, actions);
     }
-    const auto server = pickServerFor(node, exchange, now);
+    const auto trial = takeTrialServer(node, exchange, now);
+    const auto server = trial ? tl::expected<ServerId, Balancing::PickFailure>(*trial) : pickServerFor(node, exchange, now);
     if (server) {
         if (hasTurn) {
             Balancing::takeTurn(queue, now);
@@ -188,6 +192,7 @@
         Balancing::noteShed(node.m_balancer, node.m_settings.m_balancing, server, now);
         return;
     }
+    noteAnswered(node, answer, now);
     Balancing::noteWork(node.m_balancer, server.m_service, now - attempt.m_startedAt);
     Balancing::noteSlot(node.m_placement.m_queues[server.m_service]);
 }
--- a/src/node/requests.cpp
+++ b/src/node/requests.cpp
@@ -151,6 +151,7 @@
     if (!attempt) {
         return;
     }
+    noteFailed(node, *attempt, failure.m_failure, now);
     const ExchangeId id = attempt->m_exchange;
     Exchange &exchange = node.m_exchanges.at(id);
     if (mayRetry(node, exchange, failure.m_sent, now)) {
@@ -161,10 +162,13 @@
     refuse(node, id, problemOf(failure, failure.m_sent), actions);
 }
 
-void onAttemptEnded(Node &node, const AttemptEnded &ended)
+void onAttemptEnded(Node &node, const AttemptEnded &ended, TimePoint now)
 {
     const auto attempt = finishAttempt(node, ended.m_attempt);
     if (attempt) {
+        if (!ended.m_whole) {
+            noteFailed(node, *attempt, AttemptFailure::CutShort, now);
+        }
         node.m_exchanges.erase(attempt->m_exchange);
     }
 }
--- a/tests/balancing/balancer.cpp
+++ b/tests/balancing/balancer.cpp
@@ -83,7 +83,7 @@
     SECTION("a draining server gets nothing until it reports otherwise")
     {
         noteReport(fixture.m_balancer, fixture.m_settings, server, 0, true, Start);
-        CHECK(fixture.pickOften(200, Start + seconds(20)).count(first) == 0);
+        CHECK(fixture.pickOften(200, Start + seconds(50)).count(first) == 0);
     }
 
     SECTION("a cold server gets a small part at first")
--- a/tests/health/floor.cpp
+++ b/tests/health/floor.cpp
@@ -105,8 +105,8 @@
         if (!follow(self.m_following, m_settings, *decider, m_hosts[target].m_incarnation, TimePoint(self.m_startedAt), now)) {
             return;
         }
-        self.m_following.m_reportedAt = now;
-        EvidenceReport report{self.m_following.m_incarnation, now.time_since_epoch(), Hosts, {}};
+        noteReported(self.m_following, m_settings, now);
+        EvidenceReport report{self.m_following.m_incarnation, now.time_since_epoch(), m_settings.m_supportLease, Hosts, {}};
         ServiceEvidence evidence{Booking, self.m_following.m_echo, {}, self.m_following.m_verdicts};
         for (int i = 0; i < Servers; ++i) {
             ServerEvidence server;
