Run pooled health decisions on the hosts

Each host keeps evidence of its attempts, reports each second to the deciding host of each service (chosen among the live hosts of the roster), and goes by the verdicts that come back: ejected and leaving servers get no work, suspect ones only when the others are full, all within the floor of its own view. Servers that the platform lists as leaving, or that report to be draining to any host, get no new work from any within a few seconds. With more than 60 services the interval of reports and the lease grow in step.

--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -53,7 +53,14 @@
 
 void onPeerSpoke(Node &node, const PeerSpoke &spoke, TimePoint now, Actions &actions);
 
-/// Does what is due by time: heartbeats, leases.
+// Membership
+
+/// Returns what membership is told about this host.
+Membership::MembershipSettings membershipSettingsOf(const NodeSettings &settings);
+void onHeartbeat(Node &node, const PeerSpoke &spoke, const Membership::Heartbeat &heartbeat, TimePoint now);
+void onMembershipAnswered(Node &node, Membership::CallKind kind, const Platform::Result &result, TimePoint now, Actions &actions);
+
+/// Does what is due by time: heartbeats, reads of the roster, confirmations.
 void tickMembership(Node &node, TimePoint now, Actions &actions);
 
 // Health
@@ -73,16 +80,10 @@
 /// Reports, decides and reads the platform's list when that is due.
 void tickHealth(Node &node, TimePoint now, Actions &actions);
 
-/// Takes in that another host was heard of.
-void noteHeard(Node &node, const PeerSpoke &spoke, TimePoint now);
-
 void onEvidenceReport(Node &node, const PeerSpoke &spoke, const Health::EvidenceReport &report, TimePoint now, Actions &actions);
 void onServiceVerdicts(Node &node, const PeerSpoke &spoke, const Health::ServiceVerdicts &verdicts, TimePoint now);
 void onTargetsListed(Node &node, const Platform::Result &result);
 
-/// Returns the hosts of the fleet, this one included, in the order of their names.
-std::vector<FleetHost> fleetHosts(const Node &node, TimePoint now);
-
 // Configuration
 
 /// Starts a read of the changes when the last one is old enough.
--- a/src/node/healthduty.cpp
+++ b/src/node/healthduty.cpp
@@ -1,7 +1,6 @@
 #include <ragwortrelay/detail/node/duties.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace RagwortRelay::Node::detail {
 
@@ -11,9 +10,6 @@
 using Health::HealthSettings;
 
 constexpr Duration ListInterval = std::chrono::seconds(2);
-constexpr Duration HeartbeatInterval = std::chrono::seconds(1);
-constexpr Duration LiveTime = std::chrono::seconds(4); ///< After a host was heard of.
-constexpr Duration KnownTime = std::chrono::minutes(10); ///< After a host was heard of, it counts for the majority.
 constexpr Duration DecideInterval = std::chrono::milliseconds(200);
 constexpr Duration DecidingLifetime = std::chrono::minutes(1); ///< Without reports.
 
@@ -22,19 +18,12 @@
 {
     constexpr std::size_t ServicesAtFullPace = 60;
     HealthSettings settings = node.m_settings.m_health;
-    const std::size_t factor = 1 + node.m_catalogue.m_services.size() / ServicesAtFullPace;
+    const auto factor = static_cast<std::int64_t>(1 + node.m_catalogue.m_services.size() / ServicesAtFullPace);
     settings.m_reportInterval *= factor;
     settings.m_supportLease *= factor;
     return settings;
 }
 
-std::uint64_t numberOf(const std::string &text)
-{
-    std::uint64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
-}
-
 Health::ServiceView viewOf(const Node &node, const ServiceId &service, TimePoint now)
 {
     Health::ServiceView view;
@@ -69,18 +58,18 @@
     std::erase_if(health.m_following, [&health](const auto &entry) { return !health.m_deciders.contains(entry.first); });
 }
 
-void sendToHost(Node &node, const FleetHost &host, const PeerMessage &message, TimePoint now, Actions &actions)
+void sendToHost(Node &node, const HostId &host, const PeerMessage &message, TimePoint now, Actions &actions)
 {
-    if (host.m_host == node.m_settings.m_host) {
-        const PeerSpoke spoke{host.m_host, node.m_settings.m_incarnation, message};
-        if (const auto *report = std::get_if<Health::EvidenceReport>(&message)) {
-            onEvidenceReport(node, spoke, *report, now, actions);
-        } else if (const auto *verdicts = std::get_if<Health::ServiceVerdicts>(&message)) {
-            onServiceVerdicts(node, spoke, *verdicts, now);
-        }
+    if (host != node.m_settings.m_host) {
+        actions.push_back(SendPeer{host, Membership::addressOf(node.m_membership, host), message});
         return;
     }
-    actions.push_back(SendPeer{host.m_host, host.m_address, message});
+    const PeerSpoke spoke{host, node.m_settings.m_incarnation, message};
+    if (const auto *report = std::get_if<Health::EvidenceReport>(&message)) {
+        onEvidenceReport(node, spoke, *report, now, actions);
+    } else if (const auto *verdicts = std::get_if<Health::ServiceVerdicts>(&message)) {
+        onServiceVerdicts(node, spoke, *verdicts, now);
+    }
 }
 
 /// Brings attempts that run for far too long into the evidence before they end.
@@ -113,27 +102,26 @@
 }
 
 /// Sends each deciding host one report with all services that it decides for.
-void sendReports(Node &node, const std::vector<FleetHost> &hosts, TimePoint now, Actions &actions)
+void sendReports(Node &node, TimePoint now, Actions &actions)
 {
     const HealthSettings settings = scaledSettings(node);
     std::map<HostId, Health::EvidenceReport> reports;
     for (const auto &[service, decider] : node.m_health.m_deciders) {
-        const auto host = std::find_if(hosts.begin(), hosts.end(), [&](const FleetHost &entry) { return entry.m_host == decider; });
+        const Membership::Seat *seat = Membership::currentSeat(node.m_membership.m_roster, decider);
         Health::Following &following = node.m_health.m_following[service];
-        if (!Health::follow(following, settings, decider, host->m_incarnation, *node.m_health.m_startedAt, now)) {
+        if (seat == nullptr || !Health::follow(following, settings, decider, seat->m_key.m_incarnation, *node.m_health.m_startedAt, now)) {
             continue;
         }
         Health::noteReported(following, settings, now);
-        auto [report, isNew] =
-            reports.try_emplace(decider, Health::EvidenceReport{host->m_incarnation, now.time_since_epoch(), settings.m_supportLease, 0, {}});
-        report->second.m_knownHosts = static_cast<std::uint32_t>(hosts.size());
-        report->second.m_services.push_back(evidenceOn(node, service, following));
+        Health::EvidenceReport &report = reports[decider];
+        report.m_toIncarnation = seat->m_key.m_incarnation;
+        report.m_sentAt = now.time_since_epoch();
+        report.m_supportFor = settings.m_supportLease;
+        report.m_knownHosts = static_cast<std::uint32_t>(Membership::rosterSize(node.m_membership));
+        report.m_services.push_back(evidenceOn(node, service, following));
     }
-    for (const FleetHost &host : hosts) {
-        const auto report = reports.find(host.m_host);
-        if (report != reports.end()) {
-            sendToHost(node, host, report->second, now, actions);
-        }
+    for (const auto &[host, report] : reports) {
+        sendToHost(node, host, report, now, actions);
     }
 }
 
@@ -145,19 +133,13 @@
         return;
     }
     health.m_reportedAt = now;
-    const std::vector<FleetHost> hosts = fleetHosts(node, now);
-    std::vector<HostId> live;
-    for (const FleetHost &host : hosts) {
-        if (host.m_isLive) {
-            live.push_back(host.m_host);
-        }
-    }
+    const std::vector<HostId> live = Membership::liveHosts(node.m_membership, now);
     if (live.empty()) {
         return;
     }
     chooseDeciders(node, live);
     noteOverdueAttempts(node, now);
-    sendReports(node, hosts, now, actions);
+    sendReports(node, now, actions);
 }
 
 void sendVerdicts(Node &node, const ServiceId &service, const HostId &to, TimePoint now, Actions &actions)
@@ -165,12 +147,7 @@
     DecidingState &deciding = node.m_health.m_deciding.at(service);
     Health::ServiceVerdicts verdicts = Health::verdictsFor(deciding, scaledSettings(node), to, now);
     verdicts.m_service = service;
-    FleetHost host{to, {}, 0, true};
-    const auto listed = node.m_health.m_listed.find(to);
-    if (listed != node.m_health.m_listed.end()) {
-        host = listed->second;
-    }
-    sendToHost(node, host, verdicts, now, actions);
+    sendToHost(node, to, verdicts, now, actions);
 }
 
 std::map<ServerId, Health::ServerState> statesOf(const DecidingState &deciding)
@@ -255,24 +232,6 @@
     callPlatform(node, Platform::ListTargets{}, pending, actions);
 }
 
-void sendHeartbeats(Node &node, TimePoint now, Actions &actions)
-{
-    HealthState &health = node.m_health;
-    if (health.m_heartbeatAt && now - *health.m_heartbeatAt < HeartbeatInterval) {
-        return;
-    }
-    health.m_heartbeatAt = now;
-    Membership::Heartbeat heartbeat;
-    heartbeat.m_sequence = ++health.m_heartbeats;
-    heartbeat.m_configurationVersion = node.m_table.m_version;
-    heartbeat.m_leaving = node.m_stopAskedAt.has_value();
-    for (const auto &[id, host] : health.m_listed) {
-        if (id != node.m_settings.m_host) {
-            actions.push_back(SendPeer{id, host.m_address, heartbeat});
-        }
-    }
-}
-
 /// Starts the slow start of servers that came back by these verdicts.
 void noteReinstated(Node &node, const std::vector<Health::ServerVerdict> &before, const std::vector<Health::ServerVerdict> &after, TimePoint now)
 {
@@ -287,48 +246,21 @@
 
 }
 
-std::vector<FleetHost> fleetHosts(const Node &node, TimePoint now)
-{
-    std::map<HostId, FleetHost> hosts = node.m_health.m_listed;
-    for (const auto &[id, heard] : node.m_health.m_heard) {
-        if (now - heard.m_at >= KnownTime) {
-            continue;
-        }
-        FleetHost &host = hosts[id];
-        host.m_host = id;
-        host.m_incarnation = heard.m_incarnation;
-        host.m_isLive = !heard.m_isLeaving && now - heard.m_at < LiveTime;
-    }
-    FleetHost &self = hosts[node.m_settings.m_host];
-    self = {node.m_settings.m_host, node.m_settings.m_peerAddress, node.m_settings.m_incarnation, !node.m_stopAskedAt.has_value()};
-    std::vector<FleetHost> sorted;
-    for (const auto &[id, host] : hosts) {
-        sorted.push_back(host);
-    }
-    return sorted;
-}
-
-void noteHeard(Node &node, const PeerSpoke &spoke, TimePoint now)
-{
-    HeardHost &heard = node.m_health.m_heard[spoke.m_from];
-    if (spoke.m_incarnation < heard.m_incarnation) {
-        return;
-    }
-    const auto *heartbeat = std::get_if<Membership::Heartbeat>(&spoke.m_message);
-    const bool isSameLife = spoke.m_incarnation == heard.m_incarnation;
-    const bool isLeaving = heartbeat != nullptr ? heartbeat->m_leaving : isSameLife && heard.m_isLeaving;
-    heard = {now, spoke.m_incarnation, isLeaving};
-}
-
 void onEvidenceReport(Node &node, const PeerSpoke &spoke, const Health::EvidenceReport &report, TimePoint now, Actions &actions)
 {
     if (report.m_toIncarnation != node.m_settings.m_incarnation) {
         return;
     }
-    for (const Health::ServiceEvidence &evidence : report.m_services) {
+    // Only hosts with a seat count for the majority.
+    const Membership::Seat *seat = Membership::currentSeat(node.m_membership.m_roster, spoke.m_from);
+    const bool isSeated = seat != nullptr && seat->m_key.m_incarnation == spoke.m_incarnation;
+    for (Health::ServiceEvidence evidence : report.m_services) {
         if (!node.m_catalogue.m_serversOf.contains(evidence.m_service)) {
             continue;
         }
+        if (!isSeated) {
+            evidence.m_echo = Duration(0);
+        }
         auto [deciding, isNew] = node.m_health.m_deciding.try_emplace(evidence.m_service);
         if (isNew) {
             deciding->second.m_startedAt = now;
@@ -362,13 +294,9 @@
         return;
     }
     node.m_health.m_leaving.clear();
-    node.m_health.m_listed.clear();
     for (const Platform::Target &target : read->m_targets) {
         if (target.m_kind == "server" && target.m_leaving) {
             node.m_health.m_leaving.insert(ServerId(target.m_name));
-        } else if (target.m_kind == "host") {
-            const HostId id(target.m_name);
-            node.m_health.m_listed[id] = {id, target.m_address, numberOf(target.m_incarnation), false};
         }
     }
 }
@@ -379,7 +307,6 @@
         node.m_health.m_startedAt = now;
     }
     listTargets(node, now, actions);
-    sendHeartbeats(node, now, actions);
     reportEvidence(node, now, actions);
     decideServices(node, now, actions);
 }
--- a/src/node/placement.cpp
+++ b/src/node/placement.cpp
@@ -94,7 +94,7 @@
     query.m_host = node.m_settings.m_host;
     query.m_service = exchange.m_route.m_service;
     query.m_excluded = &exchange.m_tried;
-    query.m_hosts = node.m_health.m_listed.size();
+    query.m_hosts = std::max<std::size_t>(1, Membership::rosterSize(node.m_membership));
     const std::map<ServerId, Balancing::Standing> standings = standingsOf(node, query.m_service, now);
     query.m_standings = &standings;
     return Balancing::pickServer(node.m_balancer, node.m_settings.m_balancing, node.m_catalogue, query, now, node.m_random);
