--- a/tests/fakes/fakefleet.h
+++ b/tests/fakes/fakefleet.h
@@ -160,6 +160,7 @@
     std::map<Node::OperatorCallId, Node::OperatorReply> m_operatorReplies;
     std::set<HostId> m_exited;
     std::uint64_t m_peerMessages = 0;
+    std::function<void(const HostId &, const Node::SendPeer &)> m_onSend = [](const HostId &, const Node::SendPeer &) {};
 
 private:
     static constexpr Duration TickInterval = std::chrono::milliseconds(20);
@@ -237,6 +238,7 @@
     void sendPeer(const HostId &from, const Node::SendPeer &send)
     {
         ++m_peerMessages;
+        m_onSend(from, send);
         const Membership::Incarnation incarnation = m_nodes.at(from).m_settings.m_incarnation;
         const int copies = drawUnit(m_random) < m_network.m_duplicateChance ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
