Refuse requests that crash backend servers, on all hosts

Cause: a request that crashes each server that runs it was retried and could be sent again to any host for as long as its caller liked.

A request whose connection broke after it was sent is a suspect by its fingerprint (workspace, method, target, body digest), and the fleet is told. A suspect runs only while no other one of its service runs on the host; one answer clears it everywhere; present at crashes of two distinct servers, it is refused for ten minutes. Requests that were beside it are told apart: as long as another suspect was present at the same crashes neither is refused, and broken connections of one server within ten seconds are one crash.

--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -45,6 +45,15 @@
 /// Carries on with the requests whose claims were decided.
 void performClaimVerdicts(Node &node, TimePoint now, Actions &actions);
 
+// Requests that may crash backend servers
+
+/// Refuses a request that has crashed servers; lets a suspect run only while no other one of its service runs on this host.
+Progress guardSuspect(Node &node, ExchangeId id, Exchange &exchange, TimePoint now, Actions &actions);
+void noteAttemptFailure(Node &node, const AttemptFailed &failure, const Attempt &attempt, const Exchange &exchange, TimePoint now, Actions &actions);
+void noteSuspectAnswered(Node &node, AttemptId attempt, const Exchange &exchange, TimePoint now, Actions &actions);
+void onCrashReport(Node &node, const HostId &from, const Dispatch::CrashReport &report, TimePoint now);
+void tickSuspects(Node &node, TimePoint now);
+
 // Attempts
 
 /// Forgets an attempt; returns it, or nothing when it is unknown.
--- /dev/null
+++ b/include/ragwortrelay/dispatch/suspects.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/core/time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+/// Requests that may crash the backend servers that run them. `docs/dispatch.md` tells how innocent ones are told apart.
+namespace RagwortRelay::Dispatch {
+
+/// When a request is refused for the sake of the backend servers.
+struct SuspectSettings {
+    Duration m_window{std::chrono::minutes(10)}; ///< A crash counts for so long.
+    Duration m_quarantine{std::chrono::minutes(10)}; ///< After the last crash that counts.
+    Duration m_sameCrash{std::chrono::seconds(10)}; ///< Broken connections of one server within this time are one crash.
+    std::size_t m_serversUntilRefused = 2; ///< Distinct servers.
+    std::size_t m_crashesUntilRefused = 4; ///< On any servers; for services with few.
+    std::size_t m_refusedAtMost = 8; ///< When more requests look guilty, the service or the network fails and none is refused.
+    std::size_t m_suspectsAtMost = 1024;
+
+    friend bool operator==(const SuspectSettings &, const SuspectSettings &) = default;
+};
+
+/// One broken connection.
+struct Crash {
+    ServerId m_server;
+    TimePoint m_at;
+
+    friend bool operator==(const Crash &, const Crash &) = default;
+};
+
+/// Attempt of one host.
+using CrashId = std::pair<HostId, std::uint64_t>;
+
+/// Requests under suspicion by their fingerprints, with the crashes at which they were present.
+struct Suspects {
+    std::map<std::string, std::map<CrashId, Crash>> m_crashes;
+};
+
+/// Notes that a server broke the connection while it ran the request. A crash that is already noted changes nothing.
+/// Not thread-safe on one state.
+void noteCrash(Suspects &suspects, const SuspectSettings &settings, const std::string &fingerprint, const CrashId &id, const Crash &crash);
+
+/// Forgets the suspicion: a server has run the request and lives. Returns whether there was one. Not thread-safe on one state.
+bool clearSuspect(Suspects &suspects, const std::string &fingerprint);
+
+/// Tells whether the request was present at a crash. Thread-safe on a state that doesn't change.
+bool isSuspect(const Suspects &suspects, const std::string &fingerprint);
+
+/// Returns how much longer the request is refused, or nothing. Linear in the suspects, for a suspect. Thread-safe like isSuspect().
+std::optional<Duration> quarantineLeft(const Suspects &suspects, const SuspectSettings &settings, const std::string &fingerprint, TimePoint now);
+
+/// Forgets crashes that no longer count. Not thread-safe on one state.
+void expireSuspects(Suspects &suspects, const SuspectSettings &settings, TimePoint now);
+
+}
--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -5,6 +5,7 @@
 #include <ragwortrelay/core/random.h>
 #include <ragwortrelay/dispatch/claimledger.h>
 #include <ragwortrelay/dispatch/retrybudget.h>
+#include <ragwortrelay/dispatch/suspects.h>
 #include <ragwortrelay/limits/tokenbucket.h>
 #include <ragwortrelay/membership/membership.h>
 #include <ragwortrelay/node/action.h>
@@ -36,6 +37,7 @@
     Duration m_seatHorizon{std::chrono::hours(24)}; ///< See Membership::MembershipSettings::m_horizon.
     Dispatch::ClaimSettings m_claims; ///< The owner is set by makeNode().
     Dispatch::RetrySettings m_retries;
+    Dispatch::SuspectSettings m_suspects;
 
     Balancing::BalancerSettings m_balancing;
     Balancing::QueueSettings m_queue;
@@ -80,6 +82,7 @@
     ClaimUse m_claim = ClaimUse::None;
     bool m_mayHaveRun = false; ///< An attempt that ended may have run it.
     bool m_forwarded = false; ///< The caller gets the answer of the attempt.
+    bool m_isSuspect = false; ///< It was present at a crash of a backend server.
     bool m_callerGone = false; ///< It runs on for its claim's sake.
 };
 
@@ -156,6 +159,7 @@
     Dispatch::ClaimLedger m_claims;
     std::vector<Dispatch::ClaimVerdict> m_claimVerdicts; ///< To be performed before the present event is done.
     std::map<ServiceId, Dispatch::RetryBudget> m_retryBudgets;
+    Dispatch::Suspects m_suspects;
     AttemptId m_lastAttempt = 0;
     PlatformCallId m_lastCall = 0;
     std::optional<TimePoint> m_polledAt;
--- a/include/ragwortrelay/node/peermessage.h
+++ b/include/ragwortrelay/node/peermessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/dispatch/messages.h>
 #include <ragwortrelay/membership/messages.h>
 
 #include <cstdint>
@@ -10,7 +11,7 @@
 namespace RagwortRelay::Node {
 
 /// What hosts tell one another. The position of a type is its number on the wire: new ones go to the end.
-using PeerMessage = std::variant<Membership::Heartbeat>;
+using PeerMessage = std::variant<Membership::Heartbeat, Dispatch::CrashReport>;
 
 /// Messages of one host to another that travel together.
 struct PeerBatch {
--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -84,6 +84,7 @@
     tickMembership(node, now, actions);
     storeServiceLevels(node, now, actions);
     tickClaims(node, now, actions);
+    tickSuspects(node, now);
     advanceWaiting(node, now, actions);
     setReadiness(node, node.m_polledAt.has_value() && node.m_table.m_version > 0 && !node.m_stopAskedAt, actions);
     stopWhenIdle(node, now, actions);
--- a/src/node/membershipduty.cpp
+++ b/src/node/membershipduty.cpp
@@ -44,6 +44,8 @@
             using Type = std::decay_t<decltype(message)>;
             if constexpr (std::is_same_v<Type, Membership::Heartbeat>) {
                 onHeartbeat(node, spoke, message, now);
+            } else if constexpr (std::is_same_v<Type, Dispatch::CrashReport>) {
+                onCrashReport(node, spoke.m_from, message, now);
             }
         },
         spoke.m_message);
--- a/src/node/requests.cpp
+++ b/src/node/requests.cpp
@@ -152,7 +152,10 @@
             progress = claimExchange(node, id, exchange, now, actions);
             break;
         case Stage::Place:
-            progress = placeExchange(node, id, exchange, now, actions);
+            progress = guardSuspect(node, id, exchange, now, actions);
+            if (progress == Progress::Continue) {
+                progress = placeExchange(node, id, exchange, now, actions);
+            }
             break;
         case Stage::Run:
             break;
@@ -240,6 +243,7 @@
         return onShed(node, id, answer.m_attempt, now, actions);
     }
     exchange.m_mayHaveRun = true;
+    noteSuspectAnswered(node, answer.m_attempt, exchange, now, actions);
     if (exchange.m_callerGone) {
         return onAnsweredToNobody(node, id, answer, now, actions);
     }
@@ -265,6 +269,7 @@
     const ExchangeId id = attempt->m_exchange;
     Exchange &exchange = node.m_exchanges.at(id);
     noteAttempt(node, exchange, false);
+    noteAttemptFailure(node, failure, *attempt, exchange, now, actions);
     exchange.m_mayHaveRun = exchange.m_mayHaveRun || failure.m_sent;
     if (takeRetry(node, exchange, failure.m_sent, now)) {
         return placeAgain(node, id, now, actions);
