--- a/include/ragwortrelay/runtime/message.h
+++ b/include/ragwortrelay/runtime/message.h
@@ -10,6 +10,9 @@
 
 namespace RagwortRelay::Runtime {
 
+/// Header with the time that is left for a request, in milliseconds; from callers, and to backend servers.
+inline constexpr const char *DeadlineHeader = "Ragwortrelay-Deadline-Ms";
+
 /// One header of an HTTP message.
 struct Header {
     std::string m_name;
