--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -5,8 +5,8 @@
 #include <ragwortrelay/core/random.h>
 #include <ragwortrelay/dispatch/claimledger.h>
 #include <ragwortrelay/dispatch/retrybudget.h>
-#include <ragwortrelay/health/settings.h>
 #include <ragwortrelay/dispatch/suspects.h>
+#include <ragwortrelay/health/settings.h>
 #include <ragwortrelay/limits/tokenbucket.h>
 #include <ragwortrelay/membership/membership.h>
 #include <ragwortrelay/node/action.h>
--- a/include/ragwortrelay/node/peermessage.h
+++ b/include/ragwortrelay/node/peermessage.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <ragwortrelay/core/identifier.h>
-#include <ragwortrelay/health/messages.h>
 #include <ragwortrelay/dispatch/messages.h>
+#include <ragwortrelay/health/messages.h>
 #include <ragwortrelay/membership/messages.h>
 
 #include <cstdint>
