Check the settings of callers, backend servers and logs

Cause: limits, time limits, TLS towards callers and backend servers and the layout of log lines could not be set, and contradictions between keys were not found. Each section that grows has its own file now.

--- a/include/ragwortrelay/detail/settings/yamlreader.h
+++ b/include/ragwortrelay/detail/settings/yamlreader.h
@@ -46,6 +46,9 @@
     /// Returns a whole number within [least, most].
     [[nodiscard]] std::uint64_t count(const std::string &key, std::uint64_t fallback, std::uint64_t least, std::uint64_t most);
 
+    /// Tells whether a key has a value.
+    [[nodiscard]] bool has(const std::string &key) const;
+
     /// Reports a finding at the value of a key, or at the section when the key is not there.
     void reportAt(const std::string &key, ErrorId id, const std::string &message);
 
--- a/include/ragwortrelay/settings/settings.h
+++ b/include/ragwortrelay/settings/settings.h
@@ -99,6 +99,7 @@
 /// What is logged.
 struct LogSettings {
     std::string m_level = "info";
+    std::string m_layout = "%d{ISO8601} %-5p %m%n"; ///< Conversion pattern of log4cxx.
 
     friend bool operator==(const LogSettings &, const LogSettings &) = default;
 };
--- a/src/runtime/backendclient.cpp
+++ b/src/runtime/backendclient.cpp
@@ -224,6 +224,7 @@
             curl_multi_wakeup(m_multi);
         })
     {
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, static_cast<long>(m_settings.m_idleConnections));
     }
 
     ~Implementation()
--- a/src/runtime/logging.cpp
+++ b/src/runtime/logging.cpp
@@ -24,7 +24,7 @@
 
 void configureLogging(const Settings::LogSettings &settings)
 {
-    const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %-5p %m%n");
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(settings.m_layout);
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::configure(appender);
     productLogger()->setLevel(levelFrom(settings.m_level));
--- /dev/null
+++ b/src/settings/httpsections.cpp
@@ -0,0 +1,74 @@
+#include <ragwortrelay/detail/settings/certificates.h>
+#include <ragwortrelay/detail/settings/sections.h>
+
+namespace RagwortRelay::Settings::detail {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+void checkCallerCertificate(YamlReader &reader, const CallerSettings &settings, std::chrono::system_clock::time_point now)
+{
+    if (settings.m_certificate.empty()) {
+        return;
+    }
+    const auto certificateProblem = checkCertificate(settings.m_certificate, now);
+    if (certificateProblem) {
+        return reader.reportAt("certificate", ErrorId::SettingsBadCertificate, *certificateProblem);
+    }
+    const auto keyProblem = settings.m_key.empty() ? std::nullopt : checkKey(settings.m_key, settings.m_certificate);
+    if (keyProblem) {
+        reader.reportAt("key", ErrorId::SettingsBadCertificate, *keyProblem);
+    }
+}
+
+}
+
+CallerSettings readCallers(YamlReader reader, std::chrono::system_clock::time_point now)
+{
+    constexpr std::uint64_t LeastBody = 1024;
+    constexpr std::uint64_t MostBody = 64ULL << 20U;
+    constexpr std::uint64_t LeastHeader = 2048;
+    constexpr std::uint64_t MostHeader = 256ULL << 10U;
+    // The rings between the duties have room for two entries of each connection.
+    constexpr std::uint64_t MostConnections = 8000;
+    CallerSettings settings;
+    settings.m_listen = reader.address("listen", Presence::Required);
+    settings.m_bodyLimit = reader.size("body-limit", settings.m_bodyLimit, LeastBody, MostBody);
+    settings.m_headerLimit = reader.size("header-limit", settings.m_headerLimit, LeastHeader, MostHeader);
+    settings.m_connectionLimit = reader.count("connection-limit", settings.m_connectionLimit, 1, MostConnections);
+    settings.m_headerTimeout = reader.duration("header-timeout", settings.m_headerTimeout, milliseconds(100), minutes(5));
+    settings.m_bodyTimeout = reader.duration("body-timeout", settings.m_bodyTimeout, milliseconds(100), minutes(10));
+    settings.m_idleTimeout = reader.duration("idle-timeout", settings.m_idleTimeout, seconds(1), hours(1));
+    settings.m_answerTimeout = reader.duration("answer-timeout", settings.m_answerTimeout, seconds(1), hours(1));
+    const bool hasCertificate = reader.has("certificate");
+    const bool hasKey = reader.has("key");
+    settings.m_certificate = reader.file("certificate", hasKey ? Presence::Required : Presence::Optional);
+    settings.m_key = reader.file("key", hasCertificate ? Presence::Required : Presence::Optional);
+    checkCallerCertificate(reader, settings, now);
+    reader.reportUnknownKeys();
+    return settings;
+}
+
+BackendSettings readBackends(YamlReader reader, std::chrono::system_clock::time_point now)
+{
+    constexpr std::uint64_t MostIdleConnections = 65536;
+    BackendSettings settings;
+    settings.m_usesTls = reader.choice("security", {"none", "tls"}, "none") == "tls";
+    settings.m_authority = reader.file("authority", settings.m_usesTls ? Presence::Required : Presence::Optional);
+    settings.m_connectTimeout = reader.duration("connect-timeout", settings.m_connectTimeout, milliseconds(10), seconds(30));
+    settings.m_idleConnections = reader.count("idle-connections", settings.m_idleConnections, 1, MostIdleConnections);
+    const auto problem = settings.m_authority.empty() ? std::nullopt : checkCertificate(settings.m_authority, now);
+    if (problem) {
+        reader.reportAt("authority", ErrorId::SettingsBadCertificate, *problem);
+    } else if (!settings.m_usesTls && !settings.m_authority.empty()) {
+        reader.reportAt("authority", ErrorId::SettingsCrossReference, "the authority has no effect without 'backends.security: tls'");
+    }
+    reader.reportUnknownKeys();
+    return settings;
+}
+
+}
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -26,22 +26,14 @@
     return settings;
 }
 
-CallerSettings readCallers(YamlReader reader)
-{
-    constexpr std::uint64_t LeastBody = 1024;
-    constexpr std::uint64_t MostBody = 64ULL << 20U;
-    CallerSettings settings;
-    settings.m_listen = reader.address("listen", Presence::Required);
-    settings.m_bodyLimit = reader.size("body-limit", settings.m_bodyLimit, LeastBody, MostBody);
-    reader.reportUnknownKeys();
-    return settings;
-}
-
 OperatorSettings readOperators(YamlReader reader)
 {
     OperatorSettings settings;
     settings.m_listen = reader.address("listen", Presence::Required);
     settings.m_token = reader.text("token", Presence::Required);
+    if (reader.has("token") && settings.m_token.empty()) {
+        reader.reportAt("token", ErrorId::SettingsOutOfRange, "the token must not be empty");
+    }
     reader.reportUnknownKeys();
     return settings;
 }
@@ -64,14 +56,9 @@
     StopSettings settings;
     settings.m_balancerLag = reader.duration("balancer-lag", settings.m_balancerLag, milliseconds(0), minutes(10));
     settings.m_limit = reader.duration("limit", settings.m_limit, seconds(1), hours(1));
-    reader.reportUnknownKeys();
-    return settings;
-}
-
-LogSettings readLog(YamlReader reader)
-{
-    LogSettings settings;
-    settings.m_level = reader.choice("level", {"error", "warning", "info", "debug"}, settings.m_level);
+    if (settings.m_limit <= settings.m_balancerLag) {
+        reader.reportAt("limit", ErrorId::SettingsCrossReference, "requests in flight need time after 'stop.balancer-lag'");
+    }
     reader.reportUnknownKeys();
     return settings;
 }
@@ -85,12 +72,13 @@
     try {
         YamlReader root(YAML::Load(text), fileName, "", findings);
         settings.m_host = readHost(root.section("host", Presence::Required));
-        settings.m_callers = readCallers(root.section("callers", Presence::Required));
+        settings.m_callers = detail::readCallers(root.section("callers", Presence::Required), now);
+        settings.m_backends = detail::readBackends(root.section("backends", Presence::Optional), now);
         settings.m_operators = readOperators(root.section("operators", Presence::Required));
         settings.m_platform = readPlatform(root.section("platform", Presence::Required));
         settings.m_peers = detail::readPeers(root.section("peers", Presence::Required), now);
         settings.m_stop = readStop(root.section("stop", Presence::Optional));
-        settings.m_log = readLog(root.section("log", Presence::Optional));
+        settings.m_log = detail::readLog(root.section("log", Presence::Optional));
         root.reportUnknownKeys();
     } catch (const YAML::Exception &exception) {
         const auto line = static_cast<std::uint32_t>(exception.mark.line + 1);
--- a/src/settings/yamlreader.cpp
+++ b/src/settings/yamlreader.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -13,6 +14,20 @@
 
 namespace {
 
+/// Writes a quantity in the largest unit that gives a whole number.
+std::string toText(double amount, const std::map<std::string, double> &units)
+{
+    std::string text;
+    double largest = 0.0;
+    for (const auto &[name, size] : units) {
+        if (size > largest && std::fmod(amount, size) == 0.0) {
+            largest = size;
+            text = std::to_string(static_cast<std::uint64_t>(amount / size)) + name;
+        }
+    }
+    return text;
+}
+
 bool isPort(const std::string &text)
 {
     unsigned port = 0;
@@ -177,6 +192,11 @@
     return number;
 }
 
+bool YamlReader::has(const std::string &key) const
+{
+    return m_node.IsMap() && m_node[key].IsDefined() && !m_node[key].IsNull();
+}
+
 void YamlReader::reportAt(const std::string &key, ErrorId id, const std::string &message)
 {
     const YAML::Node value = m_node.IsMap() ? m_node[key] : YAML::Node(YAML::NodeType::Undefined);
@@ -224,7 +244,8 @@
     }
     const double microseconds = parsed->m_number * unit->second;
     if (!(microseconds >= static_cast<double>(least.count()) && microseconds <= static_cast<double>(most.count()))) {
-        const std::string range = std::to_string(least.count()) + "us to " + std::to_string(most.count()) + "us";
+        const std::string range =
+            toText(static_cast<double>(least.count()), microsecondsOfUnit) + " to " + toText(static_cast<double>(most.count()), microsecondsOfUnit);
         report(value->Mark(), ErrorId::SettingsOutOfRange, "'" + value->Scalar() + "' is out of the range " + range);
         return fallback;
     }
@@ -246,7 +267,7 @@
     }
     const double bytes = parsed->m_number * unit->second;
     if (!(bytes >= static_cast<double>(least) && bytes <= static_cast<double>(most))) {
-        const std::string range = std::to_string(least) + "B to " + std::to_string(most) + "B";
+        const std::string range = toText(static_cast<double>(least), bytesOfUnit) + " to " + toText(static_cast<double>(most), bytesOfUnit);
         report(value->Mark(), ErrorId::SettingsOutOfRange, "'" + value->Scalar() + "' is out of the range " + range);
         return fallback;
     }
