--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -3,10 +3,14 @@
 #include <ragwortrelay/balancing/balancer.h>
 #include <ragwortrelay/configuration/catalogue.h>
 #include <ragwortrelay/core/random.h>
+#include <ragwortrelay/dispatch/claimledger.h>
+#include <ragwortrelay/dispatch/retrybudget.h>
+#include <ragwortrelay/health/settings.h>
 #include <ragwortrelay/limits/tokenbucket.h>
 #include <ragwortrelay/membership/membership.h>
 #include <ragwortrelay/node/action.h>
 #include <ragwortrelay/node/event.h>
+#include <ragwortrelay/node/healthstate.h>
 #include <ragwortrelay/node/placement.h>
 #include <ragwortrelay/reporting/counters.h>
 #include <ragwortrelay/reporting/servicelevel.h>
@@ -32,9 +36,12 @@
     std::uint32_t m_attemptsAtMost = 3;
     std::map<HostId, std::string> m_peerSeeds; ///< Addresses of some hosts, for a start without the platform.
     Duration m_seatHorizon{std::chrono::hours(24)}; ///< See Membership::MembershipSettings::m_horizon.
+    Dispatch::ClaimSettings m_claims; ///< The owner is set by makeNode().
+    Dispatch::RetrySettings m_retries;
 
     Balancing::BalancerSettings m_balancing;
     Balancing::QueueSettings m_queue;
+    Health::HealthSettings m_health;
 
     friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
 };
@@ -54,6 +61,13 @@
     Ended, ///< The request was answered.
 };
 
+/// How far the claim of a request on its idempotency key has come.
+enum class ClaimUse : std::uint8_t {
+    None,
+    Waiting,
+    Held,
+};
+
 /// A request that this host answers.
 struct Exchange {
     Stage m_stage = Stage::Admit;
@@ -64,8 +78,13 @@
     AttemptId m_attempt = 0; ///< The one that may answer the caller.
     std::uint32_t m_attempts = 0;
     std::set<ServerId> m_tried;
+    std::vector<ServerId> m_failedAt; ///< Servers that failed it.
     std::vector<ServerId> m_shedBy; ///< Servers that shed it since it last waited for its turn.
     std::optional<TimePoint> m_placeBefore; ///< Set when it first waits for its turn.
+    ClaimUse m_claim = ClaimUse::None;
+    bool m_mayHaveRun = false; ///< An attempt that ended may have run it.
+    bool m_forwarded = false; ///< The caller gets the answer of the attempt.
+    bool m_callerGone = false; ///< It runs on for its claim's sake.
 };
 
 /// An attempt that runs.
@@ -73,15 +92,18 @@
     ExchangeId m_exchange = 0;
     ServerId m_server;
     TimePoint m_startedAt;
+    bool m_isTimed = false; ///< Its time is in the evidence, since it ran for far too long.
 };
 
 /// What a call to the platform was for.
 enum class PlatformPurpose : std::uint8_t {
     PollChanges,
+    ListTargets,
     AppendChange,
     StoreServiceLevels,
     ReadServiceLevels,
     Membership,
+    Claim,
 };
 
 /// A call to the platform that runs.
@@ -91,6 +113,7 @@
     EditTable m_edit; ///< Of AppendChange.
     Configuration::Change m_change; ///< Of AppendChange.
     Membership::CallKind m_membershipCall{}; ///< Of Membership.
+    Dispatch::ClaimCallId m_claimCall = 0; ///< Of Claim.
 };
 
 /// A request whose answer will count against the objective of its service.
@@ -128,6 +151,7 @@
     std::map<WorkspaceId, Limits::TokenBucket> m_buckets;
     Balancing::Balancer m_balancer;
     Placement m_placement;
+    HealthState m_health;
     std::map<ExchangeId, Exchange> m_exchanges;
     std::map<AttemptId, Attempt> m_attempts;
     std::map<PlatformCallId, PendingCall> m_calls;
@@ -136,6 +160,9 @@
     Membership::MembershipState m_membership;
     Reporting::Counters m_counters;
     ServiceLevelState m_serviceLevels;
+    Dispatch::ClaimLedger m_claims;
+    std::vector<Dispatch::ClaimVerdict> m_claimVerdicts; ///< To be performed before the present event is done.
+    std::map<ServiceId, Dispatch::RetryBudget> m_retryBudgets;
     AttemptId m_lastAttempt = 0;
     PlatformCallId m_lastCall = 0;
     std::optional<TimePoint> m_polledAt;
--- a/src/node/membershipduty.cpp
+++ b/src/node/membershipduty.cpp
@@ -36,7 +36,7 @@
     return membership;
 }
 
-void onPeerSpoke(Node &node, const PeerSpoke &spoke, TimePoint now, Actions & /*actions*/)
+void onPeerSpoke(Node &node, const PeerSpoke &spoke, TimePoint now, Actions &actions)
 {
     Reporting::count(node.m_counters, "peer_messages_received");
     std::visit(
@@ -44,6 +44,10 @@
             using Type = std::decay_t<decltype(message)>;
             if constexpr (std::is_same_v<Type, Membership::Heartbeat>) {
                 onHeartbeat(node, spoke, message, now);
+            } else if constexpr (std::is_same_v<Type, Health::EvidenceReport>) {
+                onEvidenceReport(node, spoke, message, now, actions);
+            } else if constexpr (std::is_same_v<Type, Health::ServiceVerdicts>) {
+                onServiceVerdicts(node, spoke, message, now);
             }
         },
         spoke.m_message);
--- a/src/runtime/requestcheck.cpp
+++ b/src/runtime/requestcheck.cpp
@@ -257,7 +257,7 @@
 {
     Headers kept;
     for (const Header &header : endToEndHeaders(headers)) {
-        const bool isWrittenAnew = sameName(header.m_name, "Content-Length") || sameName(header.m_name, "Expect");
+        const bool isWrittenAnew = sameName(header.m_name, "Content-Length") || sameName(header.m_name, "Expect") || sameName(header.m_name, DeadlineHeader);
         const bool isSecret = sameName(header.m_name, "Authorization") || carriesSecret(header.m_value, secret) || carriesSecret(header.m_name, secret);
         if (!isWrittenAnew && !isSecret) {
             kept.push_back(header);
