--- a/include/ragwortrelay/dispatch/outcome.h
+++ b/include/ragwortrelay/dispatch/outcome.h
@@ -31,9 +31,10 @@
 enum class AttemptFailure : std::uint8_t {
     ConnectFailed,
     TimedOut,
-    Broken, ///< The connection ended or the answer was malformed.
+    Broken, ///< The connection ended before any answer.
     CutShort, ///< The answer ended before its length.
     Cancelled,
+    Malformed, ///< The answer broke the protocol, or nothing in it tells where it ends.
 };
 
 /// Returns the header value for an outcome: "not-run" or "unknown".
--- a/src/dispatch/outcome.cpp
+++ b/src/dispatch/outcome.cpp
@@ -20,6 +20,8 @@
         return "cut-short";
     case AttemptFailure::Cancelled:
         return "cancelled";
+    case AttemptFailure::Malformed:
+        return "malformed";
     }
     return "unknown";
 }
--- a/src/runtime/backendclient.cpp
+++ b/src/runtime/backendclient.cpp
@@ -233,6 +233,19 @@
     return repeats && !transfer->m_order.m_idempotent ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
+/// Tells whether the answer itself says where it ends. One that ends with its connection may have been cut short by a crash.
+/// Source: RFC 9112, section 6.3.
+bool tellsItsEnd(const Transfer &transfer)
+{
+    constexpr long NoContent = 204;
+    constexpr long NotModified = 304;
+    long status = 0;
+    curl_easy_getinfo(transfer.m_easy, CURLINFO_RESPONSE_CODE, &status);
+    const bool hasNoBody = status == NoContent || status == NotModified || transfer.m_order.m_request->m_method == "HEAD";
+    const bool isChunked = std::ranges::any_of(transfer.m_answerHeaders, [](const Header &header) { return sameName(header.m_name, "Transfer-Encoding"); });
+    return hasNoBody || isChunked || !transfer.m_contentLength.empty();
+}
+
 AttemptFailure failureOf(CURLcode code)
 {
     switch (code) {
@@ -243,8 +256,13 @@
         return AttemptFailure::TimedOut;
     case CURLE_PARTIAL_FILE:
         return AttemptFailure::CutShort;
-    default:
+    case CURLE_GOT_NOTHING:
+    case CURLE_RECV_ERROR:
+    case CURLE_SEND_ERROR:
+    case CURLE_ABORTED_BY_CALLBACK: // onBeforeSend() forbade a repetition.
         return AttemptFailure::Broken;
+    default:
+        return AttemptFailure::Malformed;
     }
 }
 
@@ -407,7 +425,7 @@
 
     static void finish(Transfer &transfer, CURLcode code)
     {
-        const bool whole = code == CURLE_OK && transfer.m_isHeadComplete;
+        const bool whole = code == CURLE_OK && transfer.m_isHeadComplete && tellsItsEnd(transfer);
         transfer.m_order.m_stream->m_bodyState.store(whole ? BodyState::Whole : BodyState::CutShort);
         if (transfer.m_answered) {
             wakeReader(transfer);
