--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -85,6 +85,27 @@
 /// Does what is due by time: heartbeats, reads of the roster, confirmations.
 void tickMembership(Node &node, TimePoint now, Actions &actions);
 
+// Health
+
+/// Takes in how a running attempt was answered, before the attempt is finished.
+void noteAnswered(Node &node, const AttemptAnswered &answer, TimePoint now);
+
+/// Takes in how an attempt failed. Its exchange may be gone.
+void noteFailed(Node &node, const Attempt &attempt, Dispatch::AttemptFailure failure, TimePoint now);
+
+/// Returns how the servers of a service may be used; servers that aren't listed are usable.
+std::map<ServerId, Balancing::Standing> standingsOf(const Node &node, const ServiceId &service, TimePoint now);
+
+/// Returns an ejected server that should get this request as a trial.
+std::optional<ServerId> takeTrialServer(Node &node, const Exchange &exchange, TimePoint now);
+
+/// Reports, decides and reads the platform's list when that is due.
+void tickHealth(Node &node, TimePoint now, Actions &actions);
+
+void onEvidenceReport(Node &node, const PeerSpoke &spoke, const Health::EvidenceReport &report, TimePoint now, Actions &actions);
+void onServiceVerdicts(Node &node, const PeerSpoke &spoke, const Health::ServiceVerdicts &verdicts, TimePoint now);
+void onTargetsListed(Node &node, const Platform::Result &result);
+
 // Configuration
 
 /// Starts a read of the changes when the last one is old enough.
--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -26,6 +26,8 @@
     switch (call.m_purpose) {
     case PlatformPurpose::PollChanges:
         return onChangesRead(node, answer.m_result, now, actions);
+    case PlatformPurpose::ListTargets:
+        return onTargetsListed(node, answer.m_result);
     case PlatformPurpose::AppendChange:
         return onChangeAppended(node, call, answer.m_result, now, actions);
     case PlatformPurpose::StoreServiceLevels:
@@ -82,6 +84,7 @@
 {
     pollConfiguration(node, now, actions);
     tickMembership(node, now, actions);
+    tickHealth(node, now, actions);
     storeServiceLevels(node, now, actions);
     tickClaims(node, now, actions);
     tickSuspects(node, now);
--- a/src/node/requests.cpp
+++ b/src/node/requests.cpp
@@ -269,6 +269,7 @@
     if (!attempt) {
         return;
     }
+    noteFailed(node, *attempt, failure.m_failure, now);
     const ExchangeId id = attempt->m_exchange;
     Exchange &exchange = node.m_exchanges.at(id);
     noteAttempt(node, exchange, false);
@@ -285,6 +286,9 @@
 {
     const auto attempt = finishAttempt(node, ended.m_attempt);
     if (attempt) {
+        if (!ended.m_whole) {
+            noteFailed(node, *attempt, AttemptFailure::CutShort, now);
+        }
         endExchange(node, attempt->m_exchange, {ended.m_whole ? ClaimState::Done : ClaimState::Unknown, {}}, now, actions);
     }
 }
