Tell lives of hosts apart as the platform's list does

A host now confirms how the list names its life (setting host.incarnation), and that life is over when the list names a later one or the host no more. A process that listens on the address of an earlier one of its host reclaims that one's seat itself. Heartbeats of a host without a seat tell its address and go to the seeds.

--- a/include/ragwortrelay/membership/membership.h
+++ b/include/ragwortrelay/membership/membership.h
@@ -19,13 +19,15 @@
 /// What membership is told about this host and how it is to behave.
 struct MembershipSettings {
     Seat m_seat; ///< Of this host; the nonce is drawn by makeMembership().
-    std::map<HostId, std::string> m_seeds; ///< Addresses of some hosts, for a start without the platform.
+    std::string m_platformIncarnation; ///< How the platform's list names this life; empty when it uses the incarnation of the seat or none.
+    std::vector<std::string> m_seeds; ///< Addresses of some hosts, for a start without the platform.
     Duration m_pollInterval{std::chrono::seconds(1)}; ///< Between two reads of the roster's changes.
     Duration m_heartbeatInterval{std::chrono::seconds(1)}; ///< Doubled in fleets that are too large for a full mesh.
     Duration m_heardTimeout{std::chrono::seconds(4)}; ///< A host that was not heard of for longer isn't live. Doubled likewise.
     Duration m_confirmInterval{std::chrono::seconds(15)}; ///< Between two confirmations of a seat.
     Duration m_listInterval{std::chrono::seconds(10)}; ///< Between two reads of the platform's list while they are needed.
     Duration m_suspicion{std::chrono::seconds(30)}; ///< Silence after which a seat may be reclaimed if the list says that it is gone.
+    Duration m_isolation{std::chrono::seconds(15)}; ///< A host that was out of touch with the fleet for so long has stopped serving.
     Duration m_horizon{std::chrono::hours(24)}; ///< A holder that could not confirm its seat for so long stops using its shards.
     Duration m_leaseMargin{std::chrono::seconds(15)}; ///< Longest lease with its margin; a seat that is gone is left alone for so long.
 
@@ -41,6 +43,7 @@
     std::set<HostId> m_heard; ///< By that host.
     TimePoint m_heardToldAt; ///< When m_heard was told.
     bool m_leaving = false;
+    std::string m_address; ///< Of a host without a seat.
 
     friend bool operator==(const Peer &, const Peer &) = default;
 };
@@ -115,7 +118,7 @@
     std::optional<TimePoint> m_startedTickingAt;
     std::optional<TimePoint> m_joinStartedAt; ///< First try of this process to get its seat.
     std::set<ShardId> m_released; ///< Shards that this host no longer uses and offers to others.
-    bool m_listed = false; ///< The list has named this life of the host.
+    std::string m_listedAs; ///< As in the confirmation.
     bool m_leaving = false;
     bool m_mayLeave = false; ///< Nothing is lent or in use any more.
 
@@ -178,13 +181,14 @@
 /// Tells whether more than half of the seated hosts are alive by this host's view, itself included.
 bool reachesMajority(const MembershipState &state, TimePoint now);
 
-/// Returns the address of a host, from the roster or the seeds; empty when it is unknown.
+/// Returns the address of a host, from the roster or its own word; empty when it is unknown.
 std::string addressOf(const MembershipState &state, const HostId &host);
 
-/// Returns the hosts with which this one exchanges heartbeats: those of the roster, the seeds, and others that were heard lately.
+/// Returns the hosts with which this one exchanges heartbeats: those that the roster gives and others that were heard lately.
 std::vector<HostId> currentPeers(const MembershipState &state, TimePoint now);
 
-/// Returns the lowest version of the configuration that is known to be in force on all seats, or nothing while one is unknown.
-std::optional<std::uint64_t> lowestConfigurationVersion(const MembershipState &state, std::uint64_t ownVersion);
+/// Returns the lowest version of the configuration that may be in force on a host that serves; 0 while one is unknown. Hosts that have
+/// been silent for the isolation time don't count: a host that is out of touch for so long stops serving by itself.
+std::uint64_t lowestConfigurationVersion(const MembershipState &state, std::uint64_t ownVersion, TimePoint now);
 
 }
--- a/include/ragwortrelay/membership/messages.h
+++ b/include/ragwortrelay/membership/messages.h
@@ -3,6 +3,7 @@
 #include <ragwortrelay/core/identifier.h>
 
 #include <cstdint>
+#include <string>
 #include <tuple>
 #include <vector>
 
@@ -18,13 +19,14 @@
     std::vector<HostId> m_heard; ///< Hosts that the sender has heard of late.
     bool m_leaving = false;
     bool m_heardOmitted = false; ///< The hosts heard are those of the last heartbeat that told them.
+    std::string m_address; ///< `IP:PORT` of a sender that has no seat yet, else empty.
 
     friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 
     /// Returns the fields in the order of the wire format.
     static auto fields(auto &self)
     {
-        return std::tie(self.m_sequence, self.m_configurationVersion, self.m_heard, self.m_leaving, self.m_heardOmitted);
+        return std::tie(self.m_sequence, self.m_configurationVersion, self.m_heard, self.m_leaving, self.m_heardOmitted, self.m_address);
     }
 };
 
--- a/include/ragwortrelay/membership/storedform.h
+++ b/include/ragwortrelay/membership/storedform.h
@@ -19,10 +19,13 @@
 /// Versions between two snapshots of the roster; log items older than two snapshots are erased.
 inline constexpr std::uint64_t SnapshotInterval = 32;
 
+/// Stands for the name of a life that the platform's list doesn't name.
+inline constexpr const char *AnyLife = "*";
+
 /// What a host writes about its own seat at a steady interval.
 struct Confirmation {
     std::uint64_t m_configurationVersion = 0; ///< In force on the host.
-    bool m_listed = false; ///< The platform's list has named this life of the host.
+    std::string m_listedAs; ///< How the platform's list names this life; AnyLife when it doesn't tell lives apart, empty before it was listed.
 
     friend bool operator==(const Confirmation &, const Confirmation &) = default;
 };
--- a/include/ragwortrelay/settings/settings.h
+++ b/include/ragwortrelay/settings/settings.h
@@ -17,6 +17,7 @@
 struct HostSettings {
     HostId m_name;
     FailureDomainId m_domain;
+    std::string m_incarnation; ///< How the platform's list names this life of the host, empty for none.
 
     friend bool operator==(const HostSettings &, const HostSettings &) = default;
 };
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -62,6 +62,12 @@
         heartbeat.m_heard = heard;
         state.m_heardTold = heard;
     }
+    if (!isSeated(state)) {
+        heartbeat.m_address = state.m_settings.m_seat.m_address;
+        for (const std::string &seed : state.m_settings.m_seeds) {
+            effects.m_heartbeats.push_back({HostId(), seed, heartbeat});
+        }
+    }
     for (const HostId &host : currentPeers(state, now)) {
         effects.m_heartbeats.push_back({host, addressOf(state, host), heartbeat});
     }
@@ -115,7 +121,7 @@
         return;
     }
     if (isDue(state, CallKind::WriteConfirmation, std::chrono::seconds(2), now)) {
-        const Confirmation confirmation{configurationVersion, state.m_listed};
+        const Confirmation confirmation{configurationVersion, state.m_listedAs};
         startCall(state,
                   CallKind::WriteConfirmation,
                   Platform::Transact{{confirmationWrite(ownKey(state), confirmation, state.m_confirmationVersion)}},
--- a/src/membership/planning.cpp
+++ b/src/membership/planning.cpp
@@ -136,14 +136,24 @@
     return (isGone && unchangedFor >= state.m_settings.m_suspicion) || unchangedFor >= horizon;
 }
 
+/// Tells whether a seat was left by an earlier process of this host: this process listens on that one's address, so that it is over.
+bool isPredecessor(const MembershipState &state, const Seat &seat, TimePoint now)
+{
+    const Seat &own = state.m_settings.m_seat;
+    const bool isEarlier = seat.m_key.m_host == own.m_key.m_host && seat.m_key.m_incarnation < own.m_key.m_incarnation;
+    const bool isOver = isEarlier && !own.m_address.empty() && seat.m_address == own.m_address;
+    return isOver && state.m_observations.contains(seat.m_key) && now - *state.m_startedTickingAt >= state.m_settings.m_leaseMargin;
+}
+
 std::optional<RosterChange> reclaimChange(const MembershipState &state, TimePoint now)
 {
     for (const auto &[key, seat] : state.m_roster.m_seats) {
-        if (!mayReclaim(state, key, now)) {
+        const bool isOwnPredecessor = isPredecessor(state, seat, now);
+        if (!isOwnPredecessor && !mayReclaim(state, key, now)) {
             continue;
         }
         const Duration waitingFor = now - state.m_observations.at(key).m_goneAt.value_or(now) - state.m_settings.m_leaseMargin;
-        if (!isOwnTurn(state, "reclaim/" + key.m_host.text(), std::max(waitingFor, Duration::zero()), now)) {
+        if (!isOwnPredecessor && !isOwnTurn(state, "reclaim/" + key.m_host.text(), std::max(waitingFor, Duration::zero()), now)) {
             continue;
         }
         RosterChange change;
@@ -179,27 +189,50 @@
     return change.m_assigned.empty() ? std::nullopt : std::optional(change);
 }
 
-/// Tells whether the list says that this life is over: it names a later one, or it named this one and no longer does.
-bool isGoneBy(const Platform::TargetsRead &list, const SeatKey &key, bool wasListed)
+std::optional<std::uint64_t> numberFrom(const std::string &text)
 {
-    for (const Platform::Target &target : list.m_targets) {
-        if (target.m_kind != "host" || target.m_name != key.m_host.text()) {
-            continue;
-        }
-        Incarnation listed = 0;
-        const char *end = target.m_incarnation.data() + target.m_incarnation.size();
-        const auto [rest, error] = std::from_chars(target.m_incarnation.data(), end, listed);
-        const bool isNumber = error == std::errc() && rest == end;
-        return isNumber && listed > key.m_incarnation;
-    }
-    return wasListed;
+    std::uint64_t number = 0;
+    const char *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, number);
+    return error == std::errc() && rest == end ? std::optional(number) : std::nullopt;
 }
 
-bool isListed(const Platform::TargetsRead &list, const SeatKey &key)
+const Platform::Target *entryOf(const Platform::TargetsRead &list, const HostId &host)
 {
-    return std::any_of(list.m_targets.begin(), list.m_targets.end(), [&key](const Platform::Target &target) {
-        return target.m_kind == "host" && target.m_name == key.m_host.text() && target.m_incarnation == std::to_string(key.m_incarnation);
+    const auto entry = std::find_if(list.m_targets.begin(), list.m_targets.end(), [&host](const Platform::Target &target) {
+        return target.m_kind == "host" && target.m_name == host.text();
     });
+    return entry == list.m_targets.end() ? nullptr : &*entry;
+}
+
+/// Tells whether a list names a life that came after `listedAs`. Numbers tell an older list from a newer one.
+bool isLaterLife(const std::string &listed, const std::string &listedAs)
+{
+    const auto listedNumber = numberFrom(listed);
+    const auto ownNumber = numberFrom(listedAs);
+    return listedNumber && ownNumber ? *listedNumber > *ownNumber : listed != listedAs;
+}
+
+/// Tells whether the list says that a life is over that it has named before: it names a later one, or the host no more.
+bool isGoneBy(const Platform::TargetsRead &list, const SeatKey &key, const std::string &listedAs)
+{
+    if (listedAs.empty()) {
+        return false;
+    }
+    const Platform::Target *entry = entryOf(list, key.m_host);
+    return entry == nullptr || (listedAs != AnyLife && isLaterLife(entry->m_incarnation, listedAs));
+}
+
+/// Returns how the list names this life of this host, empty when it doesn't name it yet.
+std::string ownNameIn(const Platform::TargetsRead &list, const MembershipSettings &settings)
+{
+    const Platform::Target *entry = entryOf(list, settings.m_seat.m_key.m_host);
+    const std::string &given = settings.m_platformIncarnation;
+    if (entry == nullptr || (!given.empty() && entry->m_incarnation != given)) {
+        return {};
+    }
+    const bool isNamed = !given.empty() || entry->m_incarnation == std::to_string(settings.m_seat.m_key.m_incarnation);
+    return isNamed ? entry->m_incarnation : AnyLife;
 }
 
 }
@@ -246,7 +279,7 @@
         }
     }
     for (const Seat &seat : change.m_joined) {
-        transact.m_writes.push_back(confirmationWrite(seat.m_key, {configurationVersion, state.m_listed}, state.m_confirmationVersion));
+        transact.m_writes.push_back(confirmationWrite(seat.m_key, {configurationVersion, state.m_listedAs}, state.m_confirmationVersion));
     }
     return transact;
 }
@@ -256,7 +289,7 @@
     if (!isSeated(state)) {
         return false;
     }
-    if (!state.m_listed) {
+    if (state.m_listedAs.empty()) {
         return true;
     }
     return std::any_of(state.m_observations.begin(), state.m_observations.end(), [&](const auto &entry) {
@@ -268,9 +301,11 @@
 
 void noteList(MembershipState &state, const Platform::TargetsRead &list, TimePoint now)
 {
-    state.m_listed = state.m_listed || isListed(list, ownKey(state));
+    if (state.m_listedAs.empty()) {
+        state.m_listedAs = ownNameIn(list, state.m_settings);
+    }
     for (auto &[key, observation] : state.m_observations) {
-        if (!isGoneBy(list, key, observation.m_confirmation.m_listed)) {
+        if (!isGoneBy(list, key, observation.m_confirmation.m_listedAs)) {
             observation.m_goneAt.reset();
         } else if (!observation.m_goneAt) {
             observation.m_goneAt = now;
--- a/src/membership/reachability.cpp
+++ b/src/membership/reachability.cpp
@@ -66,19 +66,14 @@
     if (seat != nullptr) {
         return seat->m_address;
     }
-    const auto seed = state.m_settings.m_seeds.find(host);
-    return seed == state.m_settings.m_seeds.end() ? std::string() : seed->second;
+    const auto peer = state.m_peers.find(host);
+    return peer == state.m_peers.end() ? std::string() : peer->second.m_address;
 }
 
 std::vector<HostId> currentPeers(const MembershipState &state, TimePoint now)
 {
     const std::vector<HostId> chosen = peersOf(state.m_roster, ownHost(state));
     std::set<HostId> peers(chosen.begin(), chosen.end());
-    if (isWithoutSeat(state)) {
-        for (const auto &[host, address] : state.m_settings.m_seeds) {
-            peers.insert(host);
-        }
-    }
     for (const auto &[host, peer] : state.m_peers) {
         if (hears(state, host, now) && !addressOf(state, host).empty()) {
             peers.insert(host);
@@ -104,6 +99,7 @@
     peer.m_configurationVersion = std::max(peer.m_configurationVersion, heartbeat.m_configurationVersion);
     peer.m_heardAt = now;
     peer.m_leaving = heartbeat.m_leaving;
+    peer.m_address = heartbeat.m_address;
     if (!heartbeat.m_heardOmitted) {
         peer.m_heard = {heartbeat.m_heard.begin(), heartbeat.m_heard.end()};
         peer.m_heardToldAt = now;
@@ -112,26 +108,31 @@
     }
 }
 
-std::optional<std::uint64_t> lowestConfigurationVersion(const MembershipState &state, std::uint64_t ownVersion)
+std::uint64_t lowestConfigurationVersion(const MembershipState &state, std::uint64_t ownVersion, TimePoint now)
 {
+    const TimePoint started = state.m_startedTickingAt.value_or(now);
+    const std::vector<HostId> live = liveHosts(state, now);
     std::uint64_t lowest = ownVersion;
     for (const auto &[key, seat] : state.m_roster.m_seats) {
         if (key == state.m_settings.m_seat.m_key) {
             continue;
         }
-        std::optional<std::uint64_t> known;
+        std::uint64_t version = 0;
+        TimePoint heardAt = started;
         const auto peer = state.m_peers.find(key.m_host);
         if (peer != state.m_peers.end() && peer->second.m_incarnation == key.m_incarnation) {
-            known = peer->second.m_configurationVersion;
+            version = peer->second.m_configurationVersion;
+            heardAt = peer->second.m_heardAt;
         }
         const auto observation = state.m_observations.find(key);
         if (observation != state.m_observations.end()) {
-            known = std::max(known.value_or(0), observation->second.m_confirmation.m_configurationVersion);
+            version = std::max(version, observation->second.m_confirmation.m_configurationVersion);
+            heardAt = std::max(heardAt, observation->second.m_changedAt);
         }
-        if (!known) {
-            return std::nullopt;
+        const bool isLive = std::binary_search(live.begin(), live.end(), key.m_host) && currentSeat(state.m_roster, key.m_host) == &seat;
+        if (isLive || now - heardAt < state.m_settings.m_isolation) {
+            lowest = std::min(lowest, version);
         }
-        lowest = std::min(lowest, *known);
     }
     return lowest;
 }
--- a/src/membership/storedform.cpp
+++ b/src/membership/storedform.cpp
@@ -194,13 +194,13 @@
 
 std::string encodeConfirmation(const Confirmation &confirmation)
 {
-    return Json{{"configuration", confirmation.m_configurationVersion}, {"listed", confirmation.m_listed}}.dump();
+    return Json{{"configuration", confirmation.m_configurationVersion}, {"listed-as", confirmation.m_listedAs}}.dump();
 }
 
 tl::expected<Confirmation, Error> decodeConfirmation(const std::string &body)
 {
     return decodeWith<Confirmation>(body, "confirmation", [](const Json &json) {
-        return Confirmation{json.at("configuration").get<std::uint64_t>(), json.at("listed").get<bool>()};
+        return Confirmation{json.at("configuration").get<std::uint64_t>(), json.at("listed-as").get<std::string>()};
     });
 }
 
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -24,6 +24,7 @@
     node.m_host = settings.m_host.m_name;
     node.m_domain = settings.m_host.m_domain;
     node.m_incarnation = newIncarnation();
+    node.m_platformIncarnation = settings.m_host.m_incarnation;
     node.m_peerAddress = listener.advertisedAddress();
     node.m_seedAddresses = settings.m_peers.m_seeds;
     node.m_pollInterval = settings.m_platform.m_pollInterval;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -22,6 +22,7 @@
     HostSettings settings;
     settings.m_name = HostId(reader.text("name", Presence::Required));
     settings.m_domain = FailureDomainId(reader.text("failure-domain", Presence::Required));
+    settings.m_incarnation = reader.text("incarnation", Presence::Optional);
     reader.reportUnknownKeys();
     return settings;
 }
