Count limits over all hosts by conserved shares

Each host gave every workspace its whole rate and burst, so that a fleet admitted a multiple of the limit. A limit is now laid on shards; the holder of a shard has its part, by the roster's chain. Hosts borrow ahead of the demand they see. A change that moves a limit to another spread waits until all hosts in touch have the configuration; a host that leaves returns what it borrowed, lets its loans lapse and gives its shards on.

--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -105,6 +105,19 @@
 void onEvidenceReport(Node &node, const PeerSpoke &spoke, const Health::EvidenceReport &report, TimePoint now, Actions &actions);
 void onServiceVerdicts(Node &node, const PeerSpoke &spoke, const Health::ServiceVerdicts &verdicts, TimePoint now);
 void onTargetsListed(Node &node, const Platform::Result &result);
+// Limits
+
+void onLoanRequest(Node &node, const PeerSpoke &spoke, const Limits::LoanRequest &request, TimePoint now, Actions &actions);
+void onLoanAnswer(Node &node, const PeerSpoke &spoke, const Limits::LoanAnswer &answer, TimePoint now, Actions &actions);
+
+/// Takes a token of a workspace's limit, or asks a lender for one.
+Limits::Admission admitTo(Node &node, const WorkspaceId &workspace, Limits::AdmissionTry &attempt, TimePoint now, Actions &actions);
+
+/// Does what is due by time: borrowing ahead of need, giving back, handing shards over.
+void tickLimits(Node &node, TimePoint now, Actions &actions);
+
+/// Stops using all shares, for a host that is leaving; returns whether nothing is lent any more.
+bool giveUpLimits(Node &node, TimePoint now, Actions &actions);
 
 // Configuration
 
--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -7,7 +7,7 @@
 #include <ragwortrelay/dispatch/retrybudget.h>
 #include <ragwortrelay/dispatch/suspects.h>
 #include <ragwortrelay/health/settings.h>
-#include <ragwortrelay/limits/tokenbucket.h>
+#include <ragwortrelay/limits/limits.h>
 #include <ragwortrelay/membership/membership.h>
 #include <ragwortrelay/node/action.h>
 #include <ragwortrelay/node/event.h>
@@ -35,7 +35,8 @@
     Duration m_balancerLag{std::chrono::seconds(2)}; ///< After failing readiness, until the balancer sends nothing more.
     Duration m_stopLimit{std::chrono::seconds(30)}; ///< Longest wait for requests in flight on stopping.
     std::uint32_t m_attemptsAtMost = 3;
-    std::map<HostId, std::string> m_peerSeeds; ///< Addresses of some hosts, for a start without the platform.
+    std::string m_platformIncarnation; ///< How the platform's list names this life of the host, empty for none.
+    Limits::LimitsSettings m_limits;
     Duration m_seatHorizon{std::chrono::hours(24)}; ///< See Membership::MembershipSettings::m_horizon.
     Dispatch::ClaimSettings m_claims; ///< The owner is set by makeNode().
     Dispatch::RetrySettings m_retries;
@@ -76,6 +77,7 @@
     RequestArrived m_request;
     Configuration::Route m_route;
     WorkspaceId m_workspace; ///< Empty on open routes.
+    Limits::AdmissionTry m_admission;
     TimePoint m_deadline;
     AttemptId m_attempt = 0; ///< The one that may answer the caller.
     std::uint32_t m_attempts = 0;
@@ -145,13 +147,32 @@
     std::map<OperatorCallId, PendingReport> m_reports;
 };
 
+/// A spread that this host uses for a workspace's limit.
+struct KnownSpread {
+    std::uint32_t m_spread = 0;
+    std::uint64_t m_rowVersion = 0; ///< Of the workspace's row.
+};
+
+/// How the limits were laid on this host's shards last.
+struct LimitsDuty {
+    std::map<WorkspaceId, KnownSpread> m_spreads;
+    std::uint64_t m_rosterVersion = 0;
+    std::uint64_t m_tableVersion = 0;
+    TimePoint m_ownEnd = TimePoint::min();
+    TimePoint m_refreshedAt;
+    TimePoint m_handedOverAt;
+    bool m_waitsForHosts = false; ///< Some limit isn't in force before more hosts have the configuration.
+    bool m_gaveUp = false; ///< The host is leaving and uses no share any more.
+};
+
 /// State of one host. The present time and all input reach it as arguments of handle().
 struct Node {
     NodeSettings m_settings;
     RandomGenerator m_random;
     Configuration::Table m_table;
     Configuration::Catalogue m_catalogue;
-    std::map<WorkspaceId, Limits::TokenBucket> m_buckets;
+    Limits::LimitsState m_limits;
+    LimitsDuty m_limitsDuty;
     Balancing::Balancer m_balancer;
     Placement m_placement;
     HealthState m_health;
--- a/include/ragwortrelay/node/peermessage.h
+++ b/include/ragwortrelay/node/peermessage.h
@@ -3,6 +3,7 @@
 #include <ragwortrelay/core/identifier.h>
 #include <ragwortrelay/dispatch/messages.h>
 #include <ragwortrelay/health/messages.h>
+#include <ragwortrelay/limits/messages.h>
 #include <ragwortrelay/membership/messages.h>
 
 #include <cstdint>
@@ -12,7 +13,8 @@
 namespace RagwortRelay::Node {
 
 /// What hosts tell one another. The position of a type is its number on the wire: new ones go to the end.
-using PeerMessage = std::variant<Membership::Heartbeat, Health::EvidenceReport, Health::ServiceVerdicts, Dispatch::CrashReport>;
+using PeerMessage =
+    std::variant<Membership::Heartbeat, Health::EvidenceReport, Health::ServiceVerdicts, Dispatch::CrashReport, Limits::LoanRequest, Limits::LoanAnswer>;
 
 /// Messages of one host to another that travel together.
 struct PeerBatch {
--- a/src/node/admission.cpp
+++ b/src/node/admission.cpp
@@ -21,15 +21,11 @@
         refuse(node, id, {HttpUnauthorized, ErrorId::RequestUnauthenticated, Outcome::NotRun, "the workspace of this key is gone", {}}, actions);
         return Progress::Ended;
     }
-    const Limits::Share share{workspace->second.m_rate, workspace->second.m_burst};
-    auto [bucket, isNew] = node.m_buckets.try_emplace(exchange.m_workspace);
-    if (isNew || bucket->second.m_share != share) {
-        bucket->second = {share, share.m_burst * Limits::MicrotokensPerToken, now};
+    const Limits::Admission admission = admitTo(node, exchange.m_workspace, exchange.m_admission, now, actions);
+    if (admission != Limits::Admission::Refused) {
+        return admission == Limits::Admission::Admitted ? Progress::Continue : Progress::Wait;
     }
-    if (Limits::takeToken(bucket->second, now)) {
-        return Progress::Continue;
-    }
-    const Duration wait = Limits::waitForToken(bucket->second, now);
+    const Duration wait = Limits::retryAfter(node.m_limits, exchange.m_workspace, now);
     refuse(node, id, {HttpTooManyRequests, ErrorId::RequestOverLimit, Outcome::NotRun, "the workspace is over its rate", wait}, actions);
     return Progress::Ended;
 }
--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -70,7 +70,7 @@
     }
     const Duration stoppingFor = now - *node.m_stopAskedAt;
     const bool isIdle = stoppingFor >= node.m_settings.m_balancerLag && node.m_exchanges.empty() && node.m_claims.m_claims.empty();
-    if (isIdle) {
+    if (isIdle && giveUpLimits(node, now, actions)) {
         Membership::allowLeave(node.m_membership);
     }
     const bool hasLeft = Membership::isWithoutSeat(node.m_membership) || stoppingFor >= node.m_settings.m_balancerLag + LongestWaitToLeave;
@@ -85,6 +85,7 @@
     pollConfiguration(node, now, actions);
     tickMembership(node, now, actions);
     tickHealth(node, now, actions);
+    tickLimits(node, now, actions);
     storeServiceLevels(node, now, actions);
     tickClaims(node, now, actions);
     tickSuspects(node, now);
@@ -105,6 +106,8 @@
     node.m_membership = Membership::makeMembership(detail::membershipSettingsOf(settings), node.m_random);
     node.m_claims.m_settings = settings.m_claims;
     node.m_claims.m_settings.m_owner = settings.m_host.text() + '/' + std::to_string(settings.m_incarnation) + '/' + std::to_string(node.m_random());
+    node.m_limits.m_settings = settings.m_limits;
+    node.m_limits.m_self = {settings.m_host, settings.m_incarnation};
     return node;
 }
 
--- a/src/node/membershipduty.cpp
+++ b/src/node/membershipduty.cpp
@@ -30,7 +30,8 @@
     membership.m_seat.m_key = {settings.m_host, settings.m_incarnation};
     membership.m_seat.m_domain = settings.m_domain;
     membership.m_seat.m_address = settings.m_peerAddress;
-    membership.m_seeds = settings.m_peerSeeds;
+    membership.m_seeds = settings.m_seedAddresses;
+    membership.m_platformIncarnation = settings.m_platformIncarnation;
     membership.m_pollInterval = settings.m_pollInterval;
     membership.m_horizon = settings.m_seatHorizon;
     return membership;
@@ -50,6 +51,10 @@
                 onServiceVerdicts(node, spoke, message, now);
             } else if constexpr (std::is_same_v<Type, Dispatch::CrashReport>) {
                 onCrashReport(node, spoke.m_from, message, now);
+            } else if constexpr (std::is_same_v<Type, Limits::LoanRequest>) {
+                onLoanRequest(node, spoke, message, now, actions);
+            } else if constexpr (std::is_same_v<Type, Limits::LoanAnswer>) {
+                onLoanAnswer(node, spoke, message, now, actions);
             }
         },
         spoke.m_message);
--- a/src/node/requests.cpp
+++ b/src/node/requests.cpp
@@ -66,6 +66,7 @@
     const auto found = node.m_exchanges.find(id);
     leaveQueue(node, id, found->second);
     settleExchange(node, id, found->second, result, now, actions);
+    Limits::forget(node.m_limits, found->second.m_workspace, found->second.m_admission);
     node.m_exchanges.erase(found);
     node.m_waitingExchanges.erase(id);
 }
