--- a/include/ragwortrelay/balancing/requestqueue.h
+++ b/include/ragwortrelay/balancing/requestqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/core/random.h>
 #include <ragwortrelay/core/time.h>
 
 #include <tl/expected.hpp>
@@ -81,10 +82,10 @@
 /// Returns how long a new request of the workspace would wait by the turns of late.
 Duration expectedWait(const RequestQueue &queue, const WorkspaceId &workspace, double weight);
 
-/// Puts off the next turn after one that found no free slot.
-void noteNoSlot(RequestQueue &queue, TimePoint now);
+/// Puts off the next turn after one that found no free slot. The waits are drawn at random, so that hosts don't try in step.
+void noteNoSlot(RequestQueue &queue, RandomGenerator &random, TimePoint now);
 
-/// Ends the growing of the waits after a request was run.
+/// Lets the waits shrink after a request was run.
 void noteSlot(RequestQueue &queue);
 
 }
--- a/include/ragwortrelay/health/evidence.h
+++ b/include/ragwortrelay/health/evidence.h
@@ -36,10 +36,19 @@
     friend bool operator==(const LocalSuspicion &, const LocalSuspicion &) = default;
 };
 
+/// Failures in a row that one host saw, for EjectionPolicy::OwnFailures.
+struct FailureRun {
+    std::uint32_t m_failures = 0;
+    TimePoint m_ejectedUntil;
+
+    friend bool operator==(const FailureRun &, const FailureRun &) = default;
+};
+
 /// What one host saw since its last report, and its own suspicion.
 struct EvidenceBook {
     std::map<ServerId, ServerEvidence> m_servers;
     std::map<ServerId, LocalSuspicion> m_suspicions;
+    std::map<ServerId, FailureRun> m_failureRuns;
 };
 
 /// Largest number of servers and of samples for each of them in one report; what is above is dropped.
--- a/include/ragwortrelay/health/settings.h
+++ b/include/ragwortrelay/health/settings.h
@@ -6,8 +6,15 @@
 
 namespace RagwortRelay::Health {
 
+/// Who decides on ejections.
+enum class EjectionPolicy : std::uint8_t {
+    Pooled, ///< The deciding host of the service, by the evidence of all hosts.
+    OwnFailures, ///< For comparison: each host by itself, after some failures in a row, for a fixed time.
+};
+
 /// How sick servers are told from healthy ones. The defaults lie between the two example profiles.
 struct HealthSettings {
+    EjectionPolicy m_policy = EjectionPolicy::Pooled;
     double m_ejectionThreshold = 9.0; ///< Log-likelihood ratio from which a server is taken to be sick.
     double m_avoidanceThreshold = 3.5; ///< The same, from which a host by itself prefers other servers.
     double m_usualFailureRate = 0.01; ///< Of a healthy server, unless its peers fail more often.
--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -69,6 +69,7 @@
     std::set<ServerId> m_tried;
     std::vector<ServerId> m_failedAt; ///< Servers that failed it.
     std::vector<ServerId> m_shedBy; ///< Servers that shed it since it last waited for its turn.
+    bool m_isQueued = false; ///< Waits for its turn.
     std::optional<TimePoint> m_placeBefore; ///< Set when it first waits for its turn.
 };
 
--- a/src/balancing/requestqueue.cpp
+++ b/src/balancing/requestqueue.cpp
@@ -127,30 +127,29 @@
 
 Duration expectedWait(const RequestQueue &queue, const WorkspaceId &workspace, double weight)
 {
-    std::size_t ahead = 0;
-    double weightOfAll = weight;
-    for (const auto &[id, own] : queue.m_workspaces) {
-        if (id == workspace) {
-            ahead = own.m_requests.size();
-        } else if (!own.m_requests.empty()) {
-            weightOfAll += own.m_requests.front().m_weight;
+    const auto own = queue.m_workspaces.find(workspace);
+    const double turnsOfOwn = own == queue.m_workspaces.end() ? 1.0 : static_cast<double>(own->second.m_requests.size()) + 1.0;
+    double turns = turnsOfOwn;
+    for (const auto &[id, other] : queue.m_workspaces) {
+        if (id != workspace && !other.m_requests.empty()) {
+            const double share = turnsOfOwn * other.m_requests.front().m_weight / weight;
+            turns += std::min(static_cast<double>(other.m_requests.size()), share);
         }
     }
-    const double turns = (static_cast<double>(ahead) + 1.0) * weightOfAll / weight;
-    const double turnsAtMost = static_cast<double>(queue.m_size) + 1.0;
-    return Duration(static_cast<std::int64_t>(std::min(turns, turnsAtMost) * static_cast<double>(queue.m_turnInterval.count())));
+    return Duration(static_cast<std::int64_t>(turns * static_cast<double>(queue.m_turnInterval.count())));
 }
 
-void noteNoSlot(RequestQueue &queue, TimePoint now)
+void noteNoSlot(RequestQueue &queue, RandomGenerator &random, TimePoint now)
 {
+    constexpr double LeastPart = 0.5;
     queue.m_retryWait = std::clamp(queue.m_retryWait * 2, ShortestRetryWait, LongestRetryWait);
-    queue.m_retryAt = now + queue.m_retryWait;
+    const double part = LeastPart + drawUnit(random);
+    queue.m_retryAt = now + Duration(static_cast<std::int64_t>(part * static_cast<double>(queue.m_retryWait.count())));
 }
 
 void noteSlot(RequestQueue &queue)
 {
-    queue.m_retryWait = Duration(0);
-    queue.m_retryAt = TimePoint();
+    queue.m_retryWait /= 2;
 }
 
 }
--- a/src/health/evidence.cpp
+++ b/src/health/evidence.cpp
@@ -45,6 +45,20 @@
     }
 }
 
+void updateFailureRun(EvidenceBook &book, const Work &work, TimePoint now)
+{
+    constexpr std::uint32_t FailuresInRow = 5;
+    constexpr Duration EjectionTime = std::chrono::seconds(30);
+    if (work.m_outcome == WorkOutcome::Succeeded) {
+        book.m_failureRuns.erase(work.m_server);
+        return;
+    }
+    FailureRun &run = book.m_failureRuns[work.m_server];
+    if (++run.m_failures >= FailuresInRow) {
+        run = {0, now + EjectionTime};
+    }
+}
+
 void updateSuspicion(EvidenceBook &book, const HealthSettings &settings, const Work &work, TimePoint now)
 {
     const bool failed = work.m_outcome != WorkOutcome::Succeeded;
@@ -66,6 +80,9 @@
 
 void noteWork(EvidenceBook &book, const HealthSettings &settings, const Work &work, TimePoint now)
 {
+    if (settings.m_policy == EjectionPolicy::OwnFailures) {
+        return updateFailureRun(book, work, now);
+    }
     updateSuspicion(book, settings, work, now);
     ServerEvidence *evidence = entryOf(book, work.m_server);
     if (evidence == nullptr) {
--- a/src/node/healthduty.cpp
+++ b/src/node/healthduty.cpp
@@ -303,6 +303,9 @@
 
 void tickHealth(Node &node, TimePoint now, Actions &actions)
 {
+    if (node.m_settings.m_health.m_policy != Health::EjectionPolicy::Pooled) {
+        return;
+    }
     if (!node.m_health.m_startedAt) {
         node.m_health.m_startedAt = now;
     }
--- a/src/node/healthview.cpp
+++ b/src/node/healthview.cpp
@@ -109,12 +109,33 @@
     return judgement;
 }
 
+/// For comparison: every host by itself keeps to the floor.
+std::map<ServerId, Standing> standingsByOwnFailures(const Node &node, const ServiceId &service, TimePoint now)
+{
+    std::vector<Health::ServerCapacity> capacities;
+    std::vector<ServerId> ejected;
+    for (const ServerId &id : node.m_catalogue.m_serversOf.at(service)) {
+        const Configuration::Server &server = node.m_catalogue.m_servers.at(id);
+        const auto run = node.m_health.m_book.m_failureRuns.find(id);
+        capacities.push_back({id, server.m_slots * server.m_weight, server.m_use == Configuration::ServerUse::Leaving});
+        if (run != node.m_health.m_book.m_failureRuns.end() && now < run->second.m_ejectedUntil) {
+            ejected.push_back(id);
+        }
+    }
+    std::map<ServerId, Standing> standings;
+    const double floor = node.m_catalogue.m_services.contains(service) ? node.m_catalogue.m_services.at(service).m_floor : 1.0;
+    for (const ServerId &id : Health::takeOutWithinFloor(capacities, floor, ejected)) {
+        standings[id] = Standing::Barred;
+    }
+    return standings;
+}
+
 /// Tells whether nothing is held against any server, which is the usual case.
 bool isUntroubled(const Node &node, const ServiceId &service)
 {
     const auto following = node.m_health.m_following.find(service);
     const bool hasVerdicts = following != node.m_health.m_following.end() && !following->second.m_verdicts.empty();
-    return !hasVerdicts && node.m_health.m_leaving.empty() && node.m_health.m_book.m_suspicions.empty();
+    return !hasVerdicts && node.m_health.m_leaving.empty() && node.m_health.m_book.m_suspicions.empty() && node.m_health.m_book.m_failureRuns.empty();
 }
 
 bool hasIdempotentRoute(const Node &node, const ServiceId &service)
@@ -159,6 +180,9 @@
     if (isUntroubled(node, service) || !node.m_catalogue.m_serversOf.contains(service)) {
         return standings;
     }
+    if (node.m_settings.m_health.m_policy == Health::EjectionPolicy::OwnFailures) {
+        return standingsByOwnFailures(node, service, now);
+    }
     Judgement judgement = judge(node, service, now);
     const double floor = node.m_catalogue.m_services.contains(service) ? node.m_catalogue.m_services.at(service).m_floor : 1.0;
     for (const ServerId &server : judgement.m_ejected) {
--- a/src/node/placement.cpp
+++ b/src/node/placement.cpp
@@ -61,21 +61,11 @@
         refuseOverload(node, id, detailOf(queued.error()), actions);
         return Progress::Ended;
     }
+    exchange.m_isQueued = true;
     Reporting::count(node.m_counters, "requests_queued");
     return Progress::Wait;
 }
 
-bool isQueued(const Node &node, ExchangeId id, const Exchange &exchange)
-{
-    const auto queue = node.m_placement.m_queues.find(exchange.m_route.m_service);
-    if (queue == node.m_placement.m_queues.end()) {
-        return false;
-    }
-    const auto own = queue->second.m_workspaces.find(exchange.m_workspace);
-    return own != queue->second.m_workspaces.end()
-        && std::any_of(own->second.m_requests.begin(), own->second.m_requests.end(), [id](const auto &request) { return request.m_id == id; });
-}
-
 void startAttemptAt(Node &node, ExchangeId id, Exchange &exchange, const ServerId &server, TimePoint now, Actions &actions)
 {
     const AttemptId attempt = ++node.m_lastAttempt;
@@ -116,14 +106,18 @@
     node.m_placement.m_turn = 0;
 }
 
-/// Gives turns until one finds no slot.
-void giveTurns(Node &node, Balancing::RequestQueue &queue, TimePoint now, Actions &actions)
+/// Gives so many turns, or fewer when one finds no slot.
+void giveTurns(Node &node, Balancing::RequestQueue &queue, std::size_t turns, TimePoint now, Actions &actions)
 {
-    while (const auto next = Balancing::nextTurn(queue)) {
+    for (std::size_t turn = 0; turn < turns; ++turn) {
+        const auto next = Balancing::nextTurn(queue);
+        if (!next) {
+            return;
+        }
         const std::size_t sizeBefore = queue.m_size;
         giveTurn(node, *next, now, actions);
         if (queue.m_size >= sizeBefore) {
-            Balancing::noteNoSlot(queue, now);
+            Balancing::noteNoSlot(queue, node.m_random, now);
             return;
         }
     }
@@ -141,13 +135,14 @@
     Balancing::RequestQueue &queue = node.m_placement.m_queues[exchange.m_route.m_service];
     const bool hasTurn = node.m_placement.m_turn == id;
     if (!hasTurn && queue.m_size > 0) {
-        return isQueued(node, id, exchange) ? Progress::Wait : waitForTurn(node, id, exchange, now, actions);
+        return exchange.m_isQueued ? Progress::Wait : waitForTurn(node, id, exchange, now, actions);
     }
     const auto trial = takeTrialServer(node, exchange, now);
     const auto server = trial ? tl::expected<ServerId, Balancing::PickFailure>(*trial) : pickServerFor(node, exchange, now);
     if (server) {
         if (hasTurn) {
             Balancing::takeTurn(queue, now);
+            exchange.m_isQueued = false;
         }
         startAttemptAt(node, id, exchange, *server, now, actions);
         return Progress::Continue;
@@ -204,20 +199,19 @@
     exchange.m_stage = Stage::Place;
     --exchange.m_attempts;
     exchange.m_shedBy.push_back(server);
-    const bool triesAnother = exchange.m_shedBy.size() < ShedsBeforeQueue && pickServerFor(node, exchange, now).has_value();
-    if (triesAnother && queue.m_size == 0) {
+    const bool mayTryAnother = exchange.m_shedBy.size() < ShedsBeforeQueue && queue.m_size == 0 && !exchange.m_placeBefore;
+    if (mayTryAnother && pickServerFor(node, exchange, now).has_value()) {
         return advance(node, id, now, actions);
     }
-    if (!triesAnother) {
-        Balancing::noteNoSlot(queue, now);
-        forgetSheds(exchange);
-    }
+    Balancing::noteNoSlot(queue, node.m_random, now);
+    forgetSheds(exchange);
     if (node.m_settings.m_queue.m_perService == 0) {
         refuseOverload(node, id, "no backend server has a free slot", actions);
         node.m_exchanges.erase(id);
         return;
     }
     Balancing::enqueueAgain(queue, queuedRequestOf(node, id, exchange, now));
+    exchange.m_isQueued = true;
     node.m_waitingExchanges.insert(id);
 }
 
@@ -232,9 +226,8 @@
         for (const ExchangeId id : Balancing::expire(queue, now)) {
             giveTurn(node, id, now, actions);
         }
-        if (freed.contains(service) || now >= queue.m_retryAt) {
-            giveTurns(node, queue, now, actions);
-        }
+        const std::size_t turns = (freed.contains(service) ? 1 : 0) + (now >= queue.m_retryAt ? 1 : 0);
+        giveTurns(node, queue, turns, now, actions);
     }
 }
 
--- a/tests/fakes/fakefleet.h
+++ b/tests/fakes/fakefleet.h
@@ -44,7 +44,7 @@
 class FakeFleet
 {
 public:
-    /// Decides what becomes of an attempt: returns the delay and the event that it ends with.
+    /// Decides what becomes of an attempt: returns the delay and the event that it ends with; a negative delay when it delivers by itself.
     using Backend = std::function<std::pair<Duration, Node::Event>(const HostId &, const Node::StartAttempt &, TimePoint)>;
 
     explicit FakeFleet(std::uint64_t seed) : m_random(seed)
@@ -193,7 +193,9 @@
         if (const auto *start = std::get_if<Node::StartAttempt>(&action)) {
             m_attempts.emplace_back(host, *start);
             const auto [delay, event] = m_backend(host, *start, m_now);
-            deliverLater(host, delay, event);
+            if (delay >= Duration(0)) {
+                deliverLater(host, delay, event);
+            }
         } else if (const auto *call = std::get_if<Node::CallPlatform>(&action)) {
             callPlatform(host, *call);
         } else if (const auto *send = std::get_if<Node::SendPeer>(&action)) {
