--- a/src/balancing/requestqueue.cpp
+++ b/src/balancing/requestqueue.cpp
@@ -8,7 +8,7 @@
 
 constexpr double AverageGain = 0.1;
 constexpr Duration ShortestRetryWait = std::chrono::milliseconds(5);
-constexpr Duration LongestRetryWait = std::chrono::milliseconds(160);
+constexpr Duration LongestRetryWait = std::chrono::milliseconds(40);
 
 using Entry = std::map<WorkspaceId, WorkspaceQueue>::const_iterator;
 
--- a/src/node/placement.cpp
+++ b/src/node/placement.cpp
@@ -84,7 +84,7 @@
     query.m_host = node.m_settings.m_host;
     query.m_service = exchange.m_route.m_service;
     query.m_excluded = &exchange.m_tried;
-    query.m_hosts = std::max<std::size_t>(1, Membership::rosterSize(node.m_membership));
+    query.m_hosts = std::max<std::size_t>(1, node.m_health.m_decidersAmong.size());
     const std::map<ServerId, Balancing::Standing> standings = standingsOf(node, query.m_service, now);
     query.m_standings = &standings;
     return Balancing::pickServer(node.m_balancer, node.m_settings.m_balancing, node.m_catalogue, query, now, node.m_random);
