--- a/benchmarks/measurehealth.cpp
+++ b/benchmarks/measurehealth.cpp
@@ -38,23 +38,32 @@
 struct User {
     std::string m_name;
     int m_hosts = 0;
-    double m_threshold = 0.0; ///< Of its example profile.
+    Health::HealthSettings m_profile; ///< As in its example settings.
     int m_slots = 0;
     Duration m_betweenDomains{};
     std::vector<ServiceSize> m_services;
 };
 
+Health::HealthSettings profileOf(double ejectionThreshold, std::uint32_t trialSuccesses, Duration firstWait)
+{
+    Health::HealthSettings profile;
+    profile.m_ejectionThreshold = ejectionThreshold;
+    profile.m_trickleSuccesses = trialSuccesses;
+    profile.m_firstWait = firstWait;
+    return profile;
+}
+
 std::vector<User> users()
 {
     return {{"Kilauan Kristal",
              36,
-             14.0,
+             profileOf(14.0, 8, seconds(5)),
              2,
              Duration(500),
              {{"status", 10, milliseconds(20), true}, {"booking", 20, milliseconds(40), false}, {"payments", 6, milliseconds(60), false}}},
             {"Associação",
              48,
-             7.0,
+             profileOf(7.0, 5, seconds(3)),
              4,
              Duration(1500),
              {{"catalogue", 7, milliseconds(20), true}, {"reservation", 15, milliseconds(40), false}, {"orders", 6, milliseconds(60), false}}}};
@@ -65,8 +74,8 @@
     std::string m_name;
     Balancing::Policy m_policy = Balancing::Policy::Estimated;
     Health::EjectionPolicy m_ejection = Health::EjectionPolicy::Pooled;
-    double m_threshold = Health::HealthSettings{}.m_ejectionThreshold;
     bool m_queues = true;
+    Health::HealthSettings m_profile;
 };
 
 const Variant Ours{"ours"};
@@ -76,14 +85,14 @@
 {
     Variant variant = Ours;
     variant.m_name = "ours, profile of the user";
-    variant.m_threshold = user.m_threshold;
+    variant.m_profile = user.m_profile;
     return variant;
 }
 
-const Variant NaiveRandom{"random", Balancing::Policy::Random, Health::EjectionPolicy::OwnFailures, 9.0, false};
-const Variant NaiveLeastLoaded{"local least-loaded", Balancing::Policy::LeastInFlight, Health::EjectionPolicy::OwnFailures, 9.0, false};
-const Variant NaiveTwoChoices{"two choices by report", Balancing::Policy::TwoChoices, Health::EjectionPolicy::OwnFailures, 9.0, false};
-const Variant RandomWithQueue{"random + our queue", Balancing::Policy::Random, Health::EjectionPolicy::OwnFailures, 9.0, true};
+const Variant NaiveRandom{"random", Balancing::Policy::Random, Health::EjectionPolicy::OwnFailures, false};
+const Variant NaiveLeastLoaded{"local least-loaded", Balancing::Policy::LeastInFlight, Health::EjectionPolicy::OwnFailures, false};
+const Variant NaiveTwoChoices{"two choices by report", Balancing::Policy::TwoChoices, Health::EjectionPolicy::OwnFailures, false};
+const Variant RandomWithQueue{"random + our queue", Balancing::Policy::Random, Health::EjectionPolicy::OwnFailures, true};
 
 enum class Fault {
     None,
@@ -145,8 +154,8 @@
         m_fleet.m_network.m_peerJitter = scenario.m_user.m_betweenDomains;
         m_fleet.m_tune = [this](Node::NodeSettings &settings) {
             settings.m_balancing.m_policy = m_scenario.m_variant.m_policy;
+            settings.m_health = m_scenario.m_variant.m_profile;
             settings.m_health.m_policy = m_scenario.m_variant.m_ejection;
-            settings.m_health.m_ejectionThreshold = m_scenario.m_variant.m_threshold;
             settings.m_queue.m_perService = m_scenario.m_variant.m_queues ? settings.m_queue.m_perService : 0;
         };
         m_fleet.m_backend = [this](const HostId &host, const Node::StartAttempt &start, TimePoint) { return attempt(host, start); };
--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -36,6 +36,8 @@
         return onServiceLevelsRead(node, call, answer.m_result, actions);
     case PlatformPurpose::Membership:
         return onMembershipAnswered(node, call.m_membershipCall, answer.m_result, now, actions);
+    case PlatformPurpose::Claim:
+        return onClaimAnswered(node, call, answer.m_result, now, actions);
     }
 }
 
@@ -67,7 +69,7 @@
         return;
     }
     const Duration stoppingFor = now - *node.m_stopAskedAt;
-    const bool isIdle = stoppingFor >= node.m_settings.m_balancerLag && node.m_exchanges.empty();
+    const bool isIdle = stoppingFor >= node.m_settings.m_balancerLag && node.m_exchanges.empty() && node.m_claims.m_claims.empty();
     if (isIdle) {
         Membership::allowLeave(node.m_membership);
     }
@@ -84,6 +86,8 @@
     tickMembership(node, now, actions);
     tickHealth(node, now, actions);
     storeServiceLevels(node, now, actions);
+    tickClaims(node, now, actions);
+    tickSuspects(node, now);
     advanceWaiting(node, now, actions);
     setReadiness(node, node.m_polledAt.has_value() && node.m_table.m_version > 0 && !node.m_stopAskedAt, actions);
     stopWhenIdle(node, now, actions);
@@ -99,6 +103,8 @@
     node.m_settings = settings;
     node.m_random.seed(seed);
     node.m_membership = Membership::makeMembership(detail::membershipSettingsOf(settings), node.m_random);
+    node.m_claims.m_settings = settings.m_claims;
+    node.m_claims.m_settings.m_owner = settings.m_host.text() + '/' + std::to_string(settings.m_incarnation) + '/' + std::to_string(node.m_random());
     return node;
 }
 
@@ -112,13 +118,13 @@
             if constexpr (std::is_same_v<Type, RequestArrived>) {
                 detail::onRequestArrived(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, CallerGone>) {
-                detail::onCallerGone(node, typed, actions);
+                detail::onCallerGone(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, AttemptAnswered>) {
                 detail::onAttemptAnswered(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, AttemptFailed>) {
                 detail::onAttemptFailed(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, AttemptEnded>) {
-                detail::onAttemptEnded(node, typed, now);
+                detail::onAttemptEnded(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, PlatformAnswered>) {
                 detail::onPlatformAnswered(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, PeerSpoke>) {
@@ -133,6 +139,7 @@
         },
         event);
     detail::serveQueues(node, now, actions);
+    detail::performClaimVerdicts(node, now, actions);
     detail::observeActions(node, actions, now);
     return actions;
 }
--- a/src/node/placement.cpp
+++ b/src/node/placement.cpp
@@ -106,6 +106,16 @@
     node.m_placement.m_turn = 0;
 }
 
+/// Takes a suspect that had its turn but must wait for other requests to end out of the queue; it will ask for a place again.
+void letOthersPass(Node &node, ExchangeId id)
+{
+    const auto exchange = node.m_exchanges.find(id);
+    if (exchange != node.m_exchanges.end() && exchange->second.m_isSuspect) {
+        leaveQueue(node, id, exchange->second);
+        exchange->second.m_isQueued = false;
+    }
+}
+
 /// Gives so many turns, or fewer when one finds no slot.
 void giveTurns(Node &node, Balancing::RequestQueue &queue, std::size_t turns, TimePoint now, Actions &actions)
 {
@@ -117,6 +127,7 @@
         const std::size_t sizeBefore = queue.m_size;
         giveTurn(node, *next, now, actions);
         if (queue.m_size >= sizeBefore) {
+            letOthersPass(node, *next);
             Balancing::noteNoSlot(queue, node.m_random, now);
             return;
         }
@@ -207,8 +218,7 @@
     forgetSheds(exchange);
     if (node.m_settings.m_queue.m_perService == 0) {
         refuseOverload(node, id, "no backend server has a free slot", actions);
-        node.m_exchanges.erase(id);
-        return;
+        return endRefused(node, id, now, actions);
     }
     Balancing::enqueueAgain(queue, queuedRequestOf(node, id, exchange, now));
     exchange.m_isQueued = true;
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -5,6 +5,7 @@
 
 #include <future>
 #include <random>
+#include <sys/resource.h>
 
 namespace RagwortRelay::Runtime {
 
@@ -17,6 +18,17 @@
     return static_cast<Membership::Incarnation>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
+Health::HealthSettings healthSettingsFrom(const Settings::HealthTuning &tuning)
+{
+    Health::HealthSettings health;
+    health.m_ejectionThreshold = static_cast<double>(tuning.m_ejectionThreshold);
+    health.m_slowFactor = static_cast<double>(tuning.m_slowFactor);
+    health.m_firstWait = tuning.m_firstWait;
+    health.m_longestWait = tuning.m_longestWait;
+    health.m_trickleSuccesses = static_cast<std::uint32_t>(tuning.m_trialSuccesses);
+    return health;
+}
+
 Node::NodeSettings nodeSettingsFrom(const Settings::Settings &settings, const PeerListener &listener)
 {
     Node::NodeSettings node;
@@ -28,9 +40,20 @@
     node.m_pollInterval = settings.m_platform.m_pollInterval;
     node.m_balancerLag = settings.m_stop.m_balancerLag;
     node.m_stopLimit = settings.m_stop.m_limit;
+    node.m_health = healthSettingsFrom(settings.m_health);
+    node.m_queue = {settings.m_queue.m_perWorkspace, settings.m_queue.m_perService, settings.m_queue.m_longestWait};
     return node;
 }
 
+/// Lets the process open as many sockets as the system allows it.
+void raiseDescriptorLimit()
+{
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -47,7 +70,7 @@
         , m_nodeSettings(nodeSettingsFrom(settings, m_listener))
         , m_decisions(m_nodeSettings, randomSeed())
         , m_callers(settings.m_callers, m_decisions.inputs(), [this](Node::AttemptId attempt) { m_decisions.onSpace(attempt); })
-        , m_backends(m_decisions.inputs(), [this](Node::AttemptId attempt) { m_decisions.onBytes(attempt); })
+        , m_backends(settings.m_backends, m_decisions.inputs(), [this](Node::AttemptId attempt) { m_decisions.onBytes(attempt); })
         , m_platform(settings.m_platform, m_decisions.inputs())
         , m_operators(settings.m_operators, m_decisions.inputs())
         , m_peers(settings.m_peers, m_listener, settings.m_host.m_name, m_nodeSettings.m_incarnation, m_decisions.inputs())
@@ -67,6 +90,7 @@
 
     void askToStop()
     {
+        m_callers.announceStop();
         pushWaiting(m_decisions.inputs(), Node::StopAsked{});
     }
 
@@ -98,7 +122,11 @@
 
     [[nodiscard]] Reporting::Counters counters() const
     {
-        return m_peers.counters();
+        Reporting::Counters all = m_peers.counters();
+        all.merge(m_callers.counters());
+        all.merge(m_backends.counters());
+        all.merge(m_decisions.counters());
+        return all;
     }
 
 private:
@@ -115,6 +143,7 @@
 
 Host::Host(const Settings::Settings &settings)
 {
+    raiseDescriptorLimit();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     m_implementation = std::make_unique<Implementation>(settings);
 }
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -37,6 +37,19 @@
         CHECK(settings->m_platform.m_pollInterval == std::chrono::seconds(1));
     }
 
+    SECTION("health and queue are checked")
+    {
+        const std::string good = std::string(Complete) + "health:\n  ejection-threshold: 14\nqueue:\n  longest-wait: 2s\n";
+        const auto settings = parseSettings(good, "host.yaml");
+        REQUIRE(settings);
+        CHECK(settings->m_health.m_ejectionThreshold == 14);
+        CHECK(settings->m_queue.m_longestWait == std::chrono::seconds(2));
+        const std::string bad = std::string(Complete) + "health:\n  ejection-threshold: 1\n  first-wait: 3 apples\nqueue:\n  per-workspce: 3\n";
+        const auto refused = parseSettings(bad, "host.yaml");
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().size() == 3);
+    }
+
     SECTION("all findings are reported together, each with its place")
     {
         const auto settings = parseSettings(R"(host:
