--- a/include/ragwortrelay/settings/settings.h
+++ b/include/ragwortrelay/settings/settings.h
@@ -105,6 +105,26 @@
     friend bool operator==(const LogSettings &, const LogSettings &) = default;
 };
 
+/// How sick backend servers are told from healthy ones. See `docs/health.md`.
+struct HealthTuning {
+    std::uint64_t m_ejectionThreshold = 9; ///< Log-likelihood ratio.
+    std::uint64_t m_slowFactor = 4;
+    Duration m_firstWait{std::chrono::seconds(5)};
+    Duration m_longestWait{std::chrono::minutes(5)};
+    std::uint64_t m_trialSuccesses = 6;
+
+    friend bool operator==(const HealthTuning &, const HealthTuning &) = default;
+};
+
+/// How many requests wait for a slot of a backend server. See `docs/balancing.md`.
+struct QueueTuning {
+    std::uint64_t m_perWorkspace = 32;
+    std::uint64_t m_perService = 256;
+    Duration m_longestWait{std::chrono::seconds(1)};
+
+    friend bool operator==(const QueueTuning &, const QueueTuning &) = default;
+};
+
 /// All settings of a process.
 struct Settings {
     HostSettings m_host;
@@ -115,6 +135,8 @@
     PeerSettings m_peers;
     StopSettings m_stop;
     LogSettings m_log;
+    HealthTuning m_health;
+    QueueTuning m_queue;
 
     friend bool operator==(const Settings &, const Settings &) = default;
 };
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -18,6 +18,17 @@
     return static_cast<Membership::Incarnation>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
+Health::HealthSettings healthSettingsFrom(const Settings::HealthTuning &tuning)
+{
+    Health::HealthSettings health;
+    health.m_ejectionThreshold = static_cast<double>(tuning.m_ejectionThreshold);
+    health.m_slowFactor = static_cast<double>(tuning.m_slowFactor);
+    health.m_firstWait = tuning.m_firstWait;
+    health.m_longestWait = tuning.m_longestWait;
+    health.m_trickleSuccesses = static_cast<std::uint32_t>(tuning.m_trialSuccesses);
+    return health;
+}
+
 Node::NodeSettings nodeSettingsFrom(const Settings::Settings &settings, const PeerListener &listener)
 {
     Node::NodeSettings node;
@@ -30,6 +41,8 @@
     node.m_pollInterval = settings.m_platform.m_pollInterval;
     node.m_balancerLag = settings.m_stop.m_balancerLag;
     node.m_stopLimit = settings.m_stop.m_limit;
+    node.m_health = healthSettingsFrom(settings.m_health);
+    node.m_queue = {settings.m_queue.m_perWorkspace, settings.m_queue.m_perService, settings.m_queue.m_longestWait};
     return node;
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -64,6 +64,29 @@
     return settings;
 }
 
+HealthTuning readHealth(YamlReader reader)
+{
+    HealthTuning settings;
+    settings.m_ejectionThreshold = reader.count("ejection-threshold", settings.m_ejectionThreshold, 4, 50);
+    settings.m_slowFactor = reader.count("slow-factor", settings.m_slowFactor, 2, 50);
+    settings.m_firstWait = reader.duration("first-wait", settings.m_firstWait, seconds(1), minutes(5));
+    settings.m_longestWait = reader.duration("longest-wait", settings.m_longestWait, seconds(1), hours(1));
+    settings.m_trialSuccesses = reader.count("trial-successes", settings.m_trialSuccesses, 1, 100);
+    reader.reportUnknownKeys();
+    return settings;
+}
+
+QueueTuning readQueue(YamlReader reader)
+{
+    constexpr std::uint64_t MostRequests = 10'000;
+    QueueTuning settings;
+    settings.m_perWorkspace = reader.count("per-workspace", settings.m_perWorkspace, 1, MostRequests);
+    settings.m_perService = reader.count("per-service", settings.m_perService, 0, MostRequests);
+    settings.m_longestWait = reader.duration("longest-wait", settings.m_longestWait, milliseconds(10), minutes(1));
+    reader.reportUnknownKeys();
+    return settings;
+}
+
 }
 
 tl::expected<Settings, Findings> parseSettings(const std::string &text, const std::string &fileName, std::chrono::system_clock::time_point now)
@@ -80,6 +103,8 @@
         settings.m_peers = detail::readPeers(root.section("peers", Presence::Required), now);
         settings.m_stop = readStop(root.section("stop", Presence::Optional));
         settings.m_log = detail::readLog(root.section("log", Presence::Optional));
+        settings.m_health = readHealth(root.section("health", Presence::Optional));
+        settings.m_queue = readQueue(root.section("queue", Presence::Optional));
         root.reportUnknownKeys();
     } catch (const YAML::Exception &exception) {
         const auto line = static_cast<std::uint32_t>(exception.mark.line + 1);
