Wait for the reports of a crash before refusing a suspect

The crashes of one server become known one after the other; an innocent request that was beside the crashing one twice was judged before the second crash of the crashing one was noted.

A suspect with enough crashes against it now waits 200 ms after the last before it is judged.

--- a/include/ragwortrelay/dispatch/suspects.h
+++ b/include/ragwortrelay/dispatch/suspects.h
@@ -17,6 +17,7 @@
     Duration m_window{std::chrono::minutes(10)}; ///< A crash counts for so long.
     Duration m_quarantine{std::chrono::minutes(10)}; ///< After the last crash that counts.
     Duration m_sameCrash{std::chrono::seconds(10)}; ///< Broken connections of one server within this time are one crash.
+    Duration m_reportDelay{std::chrono::milliseconds(200)}; ///< After a crash, until all that were present are known.
     std::size_t m_serversUntilRefused = 2; ///< Distinct servers.
     std::size_t m_crashesUntilRefused = 4; ///< On any servers; for services with few.
     std::size_t m_refusedAtMost = 8; ///< When more requests look guilty, the service or the network fails and none is refused.
@@ -51,6 +52,9 @@
 /// Tells whether the request was present at a crash. Thread-safe on a state that doesn't change.
 bool isSuspect(const Suspects &suspects, const std::string &fingerprint);
 
+/// Tells whether the request may look guilty only because the crashes of others are not known yet. Thread-safe like isSuspect().
+bool awaitsReports(const Suspects &suspects, const SuspectSettings &settings, const std::string &fingerprint, TimePoint now);
+
 /// Returns how much longer the request is refused, or nothing. Linear in the suspects, for a suspect. Thread-safe like isSuspect().
 std::optional<Duration> quarantineLeft(const Suspects &suspects, const SuspectSettings &settings, const std::string &fingerprint, TimePoint now);
 
--- a/src/dispatch/suspects.cpp
+++ b/src/dispatch/suspects.cpp
@@ -80,6 +80,12 @@
     return suspects.m_crashes.contains(fingerprint);
 }
 
+bool awaitsReports(const Suspects &suspects, const SuspectSettings &settings, const std::string &fingerprint, TimePoint now)
+{
+    const auto found = suspects.m_crashes.find(fingerprint);
+    return found != suspects.m_crashes.end() && hasEnough(found->second, settings) && now < lastOf(found->second) + settings.m_reportDelay;
+}
+
 std::optional<Duration> quarantineLeft(const Suspects &suspects, const SuspectSettings &settings, const std::string &fingerprint, TimePoint now)
 {
     const auto found = suspects.m_crashes.find(fingerprint);
--- a/src/node/quarantine.cpp
+++ b/src/node/quarantine.cpp
@@ -51,6 +51,10 @@
     if (!exchange.m_isSuspect) {
         return Progress::Continue;
     }
+    if (Dispatch::awaitsReports(node.m_suspects, node.m_settings.m_suspects, fingerprint, now)) {
+        leaveQueue(node, id, exchange);
+        return Progress::Wait;
+    }
     if (const auto left = Dispatch::quarantineLeft(node.m_suspects, node.m_settings.m_suspects, fingerprint, now)) {
         refuse(node, id, {HttpServiceUnavailable, ErrorId::RequestQuarantined, Outcome::NotRun, "this request has crashed backend servers", left}, actions);
         return Progress::Ended;
--- a/tests/dispatch/claimledger.cpp
+++ b/tests/dispatch/claimledger.cpp
@@ -61,7 +61,7 @@
         world.resumeHost(first);
         break;
     case 7:
-        world.m_fault = static_cast<TableFault>(second % 5);
+        world.m_fault = static_cast<TableFault>(second % 7);
         break;
     case 8:
         if (!world.m_copies.empty()) {
--- a/tests/fakes/claimworld.h
+++ b/tests/fakes/claimworld.h
@@ -20,6 +20,8 @@
     LosesAnswers, ///< Takes effect, "unavailable".
     LateWrites, ///< "Unavailable", and the effect comes up to 20 s later.
     Duplicates, ///< Takes effect twice, the second time later.
+    LosesWriteAnswers, ///< Writes take effect, "unavailable"; reads are answered.
+    Flaky, ///< A tenth of the calls is lost, half of these with effect.
 };
 
 /// How a run that was granted goes on.
@@ -37,8 +39,8 @@
     std::string m_fingerprint;
     bool m_ran = false;
     bool m_gone = false;
+    bool m_runEnded = false; ///< While its host lived.
     TimePoint m_deadline;
-    std::uint64_t m_life = 0; ///< Of the host.
     std::optional<Dispatch::ClaimAnswer> m_answer; ///< Not "granted".
     RunKind m_run = RunKind::Answered;
 };
@@ -87,7 +89,7 @@
     {
         const std::uint64_t id = ++m_lastCopy;
         const TimePoint deadline = m_now + std::chrono::seconds(10);
-        m_copies[id] = {number, key, fingerprint, false, false, deadline, at(number).m_life, {}, run};
+        m_copies[id] = {number, key, fingerprint, false, false, false, deadline, {}, run};
         onHost(number, [this, number, id, deadline] {
             const ClaimCopy &copy = m_copies[id];
             step(number, [&](auto &ledger, auto &output) {
@@ -202,9 +204,22 @@
         return std::chrono::milliseconds(1 + drawBelow(m_random, 10));
     }
 
+    /// Decides how one call is treated.
+    TableFault faultOf(const Dispatch::ClaimCall &call)
+    {
+        if (m_fault == TableFault::LosesWriteAnswers) {
+            return std::holds_alternative<Platform::Transact>(call.m_request) ? TableFault::LosesAnswers : TableFault::None;
+        }
+        if (m_fault == TableFault::Flaky) {
+            const std::uint64_t draw = drawBelow(m_random, 20);
+            return draw == 0 ? TableFault::Down : draw == 1 ? TableFault::LosesAnswers : TableFault::None;
+        }
+        return m_fault;
+    }
+
     void callTable(int number, const Dispatch::ClaimCall &call)
     {
-        const TableFault fault = m_fault;
+        const TableFault fault = faultOf(call);
         const auto answer = [this, number, id = call.m_call](const Platform::Result &result) {
             return [this, number, id, result] {
                 step(number, [&](auto &ledger, auto &output) { Dispatch::onClaimCallAnswered(ledger, id, result, m_now, output); });
@@ -266,7 +281,10 @@
         } else if (copy.m_run == RunKind::Broken) {
             result.m_state = Dispatch::ClaimState::Unknown;
         }
-        onHostLater(number, m_runTime, [this, number, id, result] { settle(number, id, result); });
+        onHostLater(number, m_runTime, [this, number, id, result] {
+            m_copies[id].m_runEnded = true;
+            settle(number, id, result);
+        });
     }
 
     void settle(int number, std::uint64_t id, const Dispatch::ClaimResult &result)
