--- a/benchmarks/dispatch.cpp
+++ b/benchmarks/measuredispatch.cpp
@@ -2,8 +2,8 @@
 // down, writes for each booking, amplification by retries, servers crashed by one request.
 // Usage: ragwortrelay_measure_dispatch [SEEDS]
 
-#include "../tests/fakes/claimworld.h"
-#include "../tests/fakes/fakefleet.h"
+#include "claimworld.h"
+#include "fakefleet.h"
 
 #include <ragwortrelay/workspaces/authentication.h>
 
