--- a/src/node/claims.cpp
+++ b/src/node/claims.cpp
@@ -89,6 +89,9 @@
     Dispatch::ClaimOutput output;
     Dispatch::tickClaims(node.m_claims, node.m_random, now, output);
     perform(node, std::move(output), actions);
+    for (const auto &[name, amount] : std::exchange(node.m_claims.m_counters, {})) {
+        Reporting::count(node.m_counters, name, amount);
+    }
 }
 
 void performClaimVerdicts(Node &node, TimePoint now, Actions &actions)
