Test TLS towards callers and backend servers

A backend server whose certificate isn't of its authority counts as not connected, so that its request is known not to have been sent. The certificates of the tests are of version 3 with the address of the host, which GnuTLS and libcurl insist on.

--- a/src/runtime/backendclient.cpp
+++ b/src/runtime/backendclient.cpp
@@ -238,6 +238,8 @@
     switch (code) {
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_SSL_CONNECT_ERROR:
+    case CURLE_PEER_FAILED_VERIFICATION:
         return AttemptFailure::ConnectFailed;
     case CURLE_OPERATION_TIMEDOUT:
         return AttemptFailure::TimedOut;
--- a/tests/runtime/certificates.h
+++ b/tests/runtime/certificates.h
@@ -3,6 +3,7 @@
 #include <openssl/evp.h>
 #include <openssl/pem.h>
 #include <openssl/x509.h>
+#include <openssl/x509v3.h>
 
 #include <chrono>
 #include <cstdlib>
@@ -71,6 +72,7 @@
     X509 *make(const std::string &name, EVP_PKEY *key, std::chrono::seconds lifetime) const
     {
         X509 *certificate = X509_new();
+        X509_set_version(certificate, X509_VERSION_3);
         ASN1_INTEGER_set(X509_get_serialNumber(certificate), 1);
         X509_gmtime_adj(X509_getm_notBefore(certificate), -7200);
         X509_gmtime_adj(X509_getm_notAfter(certificate), lifetime.count());
@@ -78,10 +80,19 @@
         X509_NAME *subject = X509_get_subject_name(certificate);
         X509_NAME_add_entry_by_txt(subject, "CN", MBSTRING_ASC, reinterpret_cast<const unsigned char *>(name.c_str()), -1, -1, 0);
         X509_set_issuer_name(certificate, m_certificate == nullptr ? subject : X509_get_subject_name(m_certificate));
+        addExtension(certificate, NID_subject_alt_name, "IP:127.0.0.1");
+        addExtension(certificate, NID_basic_constraints, m_certificate == nullptr ? "critical,CA:TRUE" : "critical,CA:FALSE");
         X509_sign(certificate, m_key, EVP_sha256());
         return certificate;
     }
 
+    static void addExtension(X509 *certificate, int nid, const char *value)
+    {
+        X509_EXTENSION *extension = X509V3_EXT_conf_nid(nullptr, nullptr, nid, value);
+        X509_add_ext(certificate, extension, -1);
+        X509_EXTENSION_free(extension);
+    }
+
     void write(const std::string &name, X509 *certificate, EVP_PKEY *key) const
     {
         BIO *certificateFile = BIO_new_file(m_folder.file(name + ".crt").c_str(), "w");
