--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -87,6 +87,7 @@
     tickHealth(node, now, actions);
     storeServiceLevels(node, now, actions);
     tickClaims(node, now, actions);
+    tickSuspects(node, now);
     advanceWaiting(node, now, actions);
     setReadiness(node, node.m_polledAt.has_value() && node.m_table.m_version > 0 && !node.m_stopAskedAt, actions);
     stopWhenIdle(node, now, actions);
--- a/src/node/membershipduty.cpp
+++ b/src/node/membershipduty.cpp
@@ -48,6 +48,8 @@
                 onEvidenceReport(node, spoke, message, now, actions);
             } else if constexpr (std::is_same_v<Type, Health::ServiceVerdicts>) {
                 onServiceVerdicts(node, spoke, message, now);
+            } else if constexpr (std::is_same_v<Type, Dispatch::CrashReport>) {
+                onCrashReport(node, spoke.m_from, message, now);
             }
         },
         spoke.m_message);
