--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -1,5 +1,6 @@
 """The whole path as separate processes."""
 
+import http.client
 import json
 import threading
 import unittest
@@ -52,6 +53,46 @@
             caller.join()
             self.assertEqual(answers, [200])
 
+    def test_graceful_stop_under_load_cuts_off_no_request(self):
+        """Callers on keep-alive connections go on until the host closes; each request they sent is answered whole or not run."""
+        with Fleet(hosts=2, backends=2) as fleet:
+            key = fleet.configure()
+            host = fleet.hosts[0]
+            cut = []
+            served = []
+
+            def call(number):
+                connection = http.client.HTTPConnection(host.callers, timeout=30)
+                try:
+                    for i in range(100000):
+                        connection.request("GET", f"/{number}/{i}", headers=bearer(key))
+                        answer = connection.getresponse()
+                        body = answer.read()
+                        if answer.status == 200 and body != f"echo GET /{number}/{i} ".encode():
+                            cut.append(body)
+                        if answer.status != 200 and answer.headers.get("Ragwortrelay-Outcome") != "not-run":
+                            cut.append(answer.status)
+                        served.append(answer.status)
+                        if answer.headers.get("Connection") == "close":
+                            return
+                except ConnectionRefusedError:
+                    pass
+                except OSError as error:
+                    cut.append(error)
+                finally:
+                    connection.close()
+
+            callers = [threading.Thread(target=call, args=(number,)) for number in range(8)]
+            for caller in callers:
+                caller.start()
+            self.assertTrue(eventually(lambda: len(served) > 200))
+            host.signal(STOP)
+            self.assertEqual(host.wait(), 0)
+            for caller in callers:
+                caller.join()
+            self.assertEqual(cut, [])
+            self.assertIn(200, served)
+
 
 if __name__ == "__main__":
     unittest.main()
