Lend tokens without rate for short, and keep a pool with the lenders

Cause: hosts borrowed rate for all of their demand, rounded up, and kept tokens for a second, so that a small workspace's burst lay idle on hosts that needed none. Tokens without rate now go back as soon as they are used (or lapse after 0.5 s), rate is borrowed for three quarters of a demand above 4/s, and lenders keep a quarter of their part.

--- a/include/ragwortrelay/limits/limits.h
+++ b/include/ragwortrelay/limits/limits.h
@@ -13,7 +13,8 @@
 
 /// How hosts lend to one another.
 struct LimitsSettings {
-    Duration m_lease{std::chrono::seconds(5)}; ///< Of a loan. Must stay below the lease margin of membership.
+    Duration m_lease{std::chrono::seconds(5)}; ///< Of a loan with rate. Must stay below the lease margin of membership.
+    Duration m_tokenLease{std::chrono::milliseconds(500)}; ///< Of a loan of tokens without rate.
     Duration m_longestWait{std::chrono::milliseconds(25)}; ///< Of a request for a borrowed token.
     Duration m_answerTimeout{std::chrono::milliseconds(100)}; ///< After which a wish counts as lost.
     Duration m_controlInterval{std::chrono::milliseconds(100)}; ///< Between two looks at demand.
@@ -112,8 +113,14 @@
 /// Takes in an answer; returns the workspaces for which something was granted or refused.
 std::vector<WorkspaceId> onLoanAnswer(LimitsState &state, const HostId &from, const LoanAnswer &answer, TimePoint now);
 
-/// Returns the messages that wait to be sent, one for each host, and forgets them.
-std::vector<LoanMessage> takeOutbox(LimitsState &state);
+/// Which messages takeOutbox() takes.
+enum class Urgency : std::uint8_t {
+    Wishes, ///< Those with a wish; what is only given back travels with the next one.
+    All,
+};
+
+/// Returns the messages that wait to be sent, at most one for each host, and forgets them.
+std::vector<LoanMessage> takeOutbox(LimitsState &state, Urgency urgency);
 
 /// Sets what this host holds by its shards, and who else holds shards. Workspaces that have no limit any more are to be set to none.
 /// @param ownEndsAt instant from which the own share must not be used
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -26,12 +26,14 @@
     return std::min(tokens - std::min(tokens, limit.m_waiting), free);
 }
 
-/// Returns the rate that the host can lend: the free part beyond its own demand, and never all of it.
+/// Returns the rate that the host can lend: the free part beyond its own demand and beyond what it keeps for lending tokens.
 std::uint32_t spareRate(const WorkspaceLimit &limit)
 {
+    constexpr std::uint32_t KeptDivisor = 4;
     const std::uint32_t free = freeShare(limit.m_holding).m_rate;
     const auto needed = static_cast<std::uint32_t>(std::min(std::ceil(limit.m_demand), 1e9));
-    return free - std::min(free, needed);
+    const std::uint32_t kept = std::max(needed, (limit.m_holding.m_own.m_rate + KeptDivisor - 1) / KeptDivisor);
+    return free - std::min(free, kept);
 }
 
 LoanGranted decideLoan(const WorkspaceLimit &limit, const LoanWanted &wanted)
@@ -70,7 +72,7 @@
     settle(limit.m_holding, now);
     LoanGranted granted = decideLoan(limit, wanted);
     if (granted.m_burst > 0) {
-        granted.m_lease = state.m_settings.m_lease;
+        granted.m_lease = granted.m_rate > 0 ? state.m_settings.m_lease : state.m_settings.m_tokenLease;
         const TimePoint takenBackAt = now + granted.m_lease + granted.m_lease / ClockDriftDivisor;
         lend(limit.m_holding, {from, wanted.m_loan}, {granted.m_rate, granted.m_burst}, granted.m_microtokens, takenBackAt, now);
     }
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -11,10 +11,13 @@
 constexpr Duration DemandTime = std::chrono::seconds(2);
 
 /// A token in hand ahead of need covers the demand of this time.
-constexpr double StockSeconds = 0.5;
+constexpr double StockSeconds = 0.1;
 
 /// Below this demand a host borrows tokens only when a request asks for one.
-constexpr double DemandWorthStock = 1.0;
+constexpr double DemandWorthStock = 4.0;
+
+/// A host borrows rate for this part of its demand; peaks are served by tokens that the lenders keep together.
+constexpr double BorrowedPartOfDemand = 0.75;
 
 /// What a lender has told counts for this long.
 constexpr Duration HintTime = std::chrono::seconds(1);
@@ -23,7 +26,7 @@
 constexpr double UsedPartOfLease = 0.8;
 
 /// A loan without rate is given back when it was of no use for so long.
-constexpr Duration StockTime = std::chrono::seconds(1);
+constexpr Duration StockTime = std::chrono::milliseconds(200);
 
 bool isWaitedFor(const WorkspaceLimit &limit, TimePoint now, Duration timeout)
 {
@@ -116,6 +119,28 @@
     state.m_outbox[lender].m_returned.push_back({loan, workspace, microtokens});
 }
 
+/// Gives back loans without rate when no token is left, so that the lender's bucket can fill up again.
+void returnUsed(LimitsState &state, const WorkspaceId &workspace, WorkspaceLimit &limit, TimePoint now)
+{
+    if (limit.m_holding.m_bucket.m_microtokens >= MicrotokensPerToken || limit.m_holding.m_borrowed.empty()) {
+        return;
+    }
+    std::vector<LoanId> used;
+    for (const auto &[loan, borrowed] : limit.m_holding.m_borrowed) {
+        if (borrowed.m_share.m_rate == 0) {
+            used.push_back(loan);
+        }
+    }
+    for (const LoanId loan : used) {
+        giveBackLoan(state, workspace, limit, loan, now);
+    }
+}
+
+std::uint32_t rateToHold(const WorkspaceLimit &limit)
+{
+    return static_cast<std::uint32_t>(std::min(limit.m_demand * BorrowedPartOfDemand, 1e9));
+}
+
 void updateDemand(WorkspaceLimit &limit, TimePoint now)
 {
     const Duration elapsed = now - limit.m_demandAt;
@@ -156,7 +181,7 @@
     if (limit.m_demand < DemandWorthStock || !limit.m_pending.empty()) {
         return;
     }
-    const auto needed = static_cast<std::uint32_t>(std::min(std::ceil(limit.m_demand), 1e9));
+    const std::uint32_t needed = rateToHold(limit);
     const std::uint32_t rate = limit.m_holding.m_bucket.m_share.m_rate;
     const auto tokens = static_cast<std::uint32_t>(limit.m_holding.m_bucket.m_microtokens / MicrotokensPerToken);
     const std::uint32_t stock = stockOf(limit);
@@ -190,6 +215,9 @@
     if (admission != Admission::Wait) {
         stopWaiting(limit, attempt);
     }
+    if (admission == Admission::Admitted) {
+        returnUsed(state, workspace, limit, now);
+    }
     return admission;
 }
 
@@ -257,13 +285,16 @@
     return touched;
 }
 
-std::vector<LoanMessage> takeOutbox(LimitsState &state)
+std::vector<LoanMessage> takeOutbox(LimitsState &state, Urgency urgency)
 {
     std::vector<LoanMessage> messages;
-    for (auto &[host, request] : state.m_outbox) {
-        messages.push_back({host, std::move(request)});
-    }
-    state.m_outbox.clear();
+    std::erase_if(state.m_outbox, [&](auto &entry) {
+        const bool isTaken = urgency == Urgency::All || !entry.second.m_wanted.empty();
+        if (isTaken) {
+            messages.push_back({entry.first, std::move(entry.second)});
+        }
+        return isTaken;
+    });
     return messages;
 }
 
--- a/src/node/limitsduty.cpp
+++ b/src/node/limitsduty.cpp
@@ -143,9 +143,9 @@
     }
 }
 
-void sendOutbox(Node &node, Actions &actions)
+void sendOutbox(Node &node, Limits::Urgency urgency, Actions &actions)
 {
-    for (const Limits::LoanMessage &message : Limits::takeOutbox(node.m_limits)) {
+    for (const Limits::LoanMessage &message : Limits::takeOutbox(node.m_limits, urgency)) {
         actions.push_back(SendPeer{message.m_host, Membership::addressOf(node.m_membership, message.m_host), message.m_request});
     }
 }
@@ -177,7 +177,7 @@
 {
     const std::vector<WorkspaceId> touched = Limits::onLoanAnswer(node.m_limits, spoke.m_from, answer, now);
     advanceAdmissions(node, touched, now, actions);
-    sendOutbox(node, actions);
+    sendOutbox(node, Limits::Urgency::Wishes, actions);
 }
 
 Limits::Admission admitTo(Node &node, const WorkspaceId &workspace, Limits::AdmissionTry &attempt, TimePoint now, Actions &actions)
@@ -186,7 +186,7 @@
         refreshLimits(node, now);
     }
     const Limits::Admission admission = Limits::admit(node.m_limits, workspace, attempt, node.m_random, now);
-    sendOutbox(node, actions);
+    sendOutbox(node, Limits::Urgency::Wishes, actions);
     return admission;
 }
 
@@ -201,7 +201,7 @@
         handOver(node, now);
     }
     Limits::control(node.m_limits, node.m_random, now);
-    sendOutbox(node, actions);
+    sendOutbox(node, Limits::Urgency::All, actions);
 }
 
 bool giveUpLimits(Node &node, TimePoint now, Actions &actions)
@@ -210,7 +210,7 @@
         node.m_limitsDuty.m_gaveUp = true;
         Limits::giveBackAll(node.m_limits, now);
         refreshLimits(node, now);
-        sendOutbox(node, actions);
+        sendOutbox(node, Limits::Urgency::All, actions);
     }
     return !Limits::hasLent(node.m_limits, now);
 }
