Free the answer stream of an attempt that failed

Cause: the decision duty kept the 64 KiB stream of each attempt that failed before it was answered, for the life of the process.

--- a/src/runtime/decisionduty.cpp
+++ b/src/runtime/decisionduty.cpp
@@ -102,6 +102,9 @@
         m_localEvents.pop_front();
         handle(local);
     }
+    if (const auto *failed = std::get_if<Node::AttemptFailed>(&event)) {
+        m_streams.erase(failed->m_attempt); // Nothing of it is ever forwarded.
+    }
     if (const auto *ended = std::get_if<Node::AttemptEnded>(&event)) {
         forgetForwarded(ended->m_attempt);
     }
