Show the counters of all duties, and bound a round of decisions

Cause: refusals of rings and drops of peer streams were counted but not on the metrics page; an answer to an operator that found its ring full was lost and its connection stayed suspended; the decision duty drained its ring until it was empty, so that a flood could hold up the tick.

--- a/include/ragwortrelay/runtime/decisionduty.h
+++ b/include/ragwortrelay/runtime/decisionduty.h
@@ -57,6 +57,7 @@
 
 private:
     void run();
+    void take(DecisionInput input);
     void handle(const Node::Event &event);
     void perform(const Node::Action &action);
     void startAttempt(const Node::StartAttempt &start);
@@ -81,6 +82,7 @@
     std::deque<Node::Event> m_localEvents;
     std::deque<FrontOrder> m_waitingFrontOrders;
     std::deque<Node::CallPlatform> m_waitingCalls;
+    std::deque<Node::AnswerOperator> m_waitingReplies;
     std::mutex m_forwardedMutex; ///< Guards m_forwarded, which two other duties read.
     std::map<Node::AttemptId, Node::ExchangeId> m_forwarded;
     std::function<void()> m_onExit;
--- a/include/ragwortrelay/runtime/operatorfront.h
+++ b/include/ragwortrelay/runtime/operatorfront.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <ragwortrelay/node/action.h>
+#include <ragwortrelay/reporting/counters.h>
 #include <ragwortrelay/runtime/input.h>
 #include <ragwortrelay/settings/settings.h>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -28,6 +30,9 @@
     /// Returns the ring for answers. Thread-safe.
     [[nodiscard]] Ring<Node::AnswerOperator> &orders();
 
+    /// Sets where the metrics page gets the counters of the other duties. Call before start().
+    void setRuntimeCounters(std::function<Reporting::Counters()> counters);
+
     /// Sets what the readiness probe is told. Thread-safe.
     void setReady(bool ready);
 
--- a/include/ragwortrelay/runtime/ring.h
+++ b/include/ragwortrelay/runtime/ring.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <utility>
 
@@ -42,14 +43,18 @@
         return true;
     }
 
-    /// Hands all elements to `consumer`, oldest first. Precondition: only one thread drains at a time.
-    template<typename Consumer> void drain(Consumer consumer)
+    /// Hands elements to `consumer`, oldest first, until none is left or `most` were handed over; returns their number.
+    /// Precondition: only one thread drains at a time.
+    template<typename Consumer> std::size_t drain(Consumer consumer, std::size_t most = std::numeric_limits<std::size_t>::max())
     {
         Element *raw = nullptr;
-        while (m_queue.pop(raw)) {
+        std::size_t count = 0;
+        while (count < most && m_queue.pop(raw)) {
             const std::unique_ptr<Element> owned(raw);
             consumer(std::move(*owned));
+            ++count;
         }
+        return count;
     }
 
     /// Returns how many elements were refused. Thread-safe.
--- a/src/runtime/decisionduty.cpp
+++ b/src/runtime/decisionduty.cpp
@@ -66,6 +66,8 @@
 void DecisionDuty::run()
 {
     constexpr Duration TickInterval = std::chrono::milliseconds(20);
+    constexpr std::size_t MostInputs = 128; // Between two looks at the time, so that a flood of requests doesn't hold up leases.
+    bool hasMore = false;
     TimePoint nextTick = currentTime();
     while (!m_stopping.load()) {
         const TimePoint now = currentTime();
@@ -75,19 +77,22 @@
         }
         const auto wait = std::chrono::ceil<std::chrono::milliseconds>(nextTick - now);
         pollfd descriptor{m_wakeup.descriptor(), POLLIN, 0};
-        if (poll(&descriptor, 1, static_cast<int>(wait.count())) > 0) {
+        if (poll(&descriptor, 1, hasMore ? 0 : static_cast<int>(wait.count())) > 0) {
             m_wakeup.clear();
         }
-        m_inputs.drain([this](DecisionInput &&input) {
-            if (const auto *request = std::get_if<Node::RequestArrived>(&input.m_event)) {
-                m_requests.emplace(request->m_exchange, std::move(input.m_request));
-            }
-            handle(input.m_event);
-        });
+        hasMore = m_inputs.drain([this](DecisionInput &&input) { take(std::move(input)); }, MostInputs) == MostInputs;
         flush();
     }
 }
 
+void DecisionDuty::take(DecisionInput input)
+{
+    if (const auto *request = std::get_if<Node::RequestArrived>(&input.m_event)) {
+        m_requests.emplace(request->m_exchange, std::move(input.m_request));
+    }
+    handle(input.m_event);
+}
+
 void DecisionDuty::handle(const Node::Event &event)
 {
     for (const Node::Action &action : Node::handle(m_node, event, currentTime())) {
@@ -134,7 +139,7 @@
             } else if constexpr (std::is_same_v<Type, Node::CallPlatform>) {
                 m_waitingCalls.push_back(typed);
             } else if constexpr (std::is_same_v<Type, Node::AnswerOperator>) {
-                m_operators->orders().push(typed);
+                m_waitingReplies.push_back(typed);
             } else if constexpr (std::is_same_v<Type, Node::SetReadiness>) {
                 m_operators->setReady(typed.m_ready);
             } else if constexpr (std::is_same_v<Type, Node::SendPeer>) {
@@ -203,6 +208,9 @@
     while (!m_waitingFrontOrders.empty() && m_callers->orders().push(m_waitingFrontOrders.front())) {
         m_waitingFrontOrders.pop_front();
     }
+    while (!m_waitingReplies.empty() && m_operators->orders().push(m_waitingReplies.front())) {
+        m_waitingReplies.pop_front();
+    }
     while (!m_waitingCalls.empty() && m_platform->orders().push(m_waitingCalls.front())) {
         m_waitingCalls.pop_front();
     }
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -67,6 +67,7 @@
 
     void start()
     {
+        m_operators.setRuntimeCounters([this] { return counters(); });
         m_callers.start();
         m_operators.start();
         m_backends.start();
--- a/src/runtime/operatorfront.cpp
+++ b/src/runtime/operatorfront.cpp
@@ -55,6 +55,11 @@
         m_ready.store(ready);
     }
 
+    void setRuntimeCounters(std::function<Reporting::Counters()> counters)
+    {
+        m_runtimeCounters = std::move(counters);
+    }
+
 private:
     static constexpr std::size_t OrderCapacity = 1024;
     static constexpr std::size_t BodyLimit = 32U << 20U; // bytes
@@ -147,9 +152,14 @@
     {
         m_orders.drain([this](Node::AnswerOperator &&order) {
             const auto found = m_exchanges.find(order.m_call);
-            if (found != m_exchanges.end()) {
-                resume(*found->second, encodeReply(order.m_reply));
+            if (found == m_exchanges.end()) {
+                return;
+            }
+            OperatorAnswer content = encodeReply(order.m_reply);
+            if (found->second->m_path == MetricsPath) {
+                content.m_body += Reporting::exposition(m_runtimeCounters());
             }
+            resume(*found->second, std::move(content));
         });
     }
 
@@ -172,6 +182,7 @@
     Settings::OperatorSettings m_settings;
     DecisionRing &m_decisions;
     std::atomic<bool> m_ready{false};
+    std::function<Reporting::Counters()> m_runtimeCounters = [] { return Reporting::Counters(); };
     std::map<Node::OperatorCallId, OperatorExchange *> m_exchanges;
     Node::OperatorCallId m_lastCall = 0;
     detail::HttpServer m_server;
@@ -203,6 +214,11 @@
     return m_implementation->orders();
 }
 
+void OperatorFront::setRuntimeCounters(std::function<Reporting::Counters()> counters)
+{
+    m_implementation->setRuntimeCounters(std::move(counters));
+}
+
 void OperatorFront::setReady(bool ready)
 {
     m_implementation->setReady(ready);
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -39,6 +39,14 @@
             answer = request(fleet.hosts[0].callers, "GET", "/a?size=3000000", bearer(key))
             self.assertEqual(len(answer.body), 3000000)
 
+    def test_counters_of_the_duties_are_on_the_metrics_page(self):
+        with Fleet(hosts=2) as fleet:
+            fleet.configure()
+            self.assertEqual(request(fleet.hosts[0].callers, "GET", "/a/../b").status, 400)
+            page = request(fleet.hosts[0].operators, "GET", "/ragwortrelay/metrics").body.decode()
+            self.assertIn('ragwortrelay_requests_refused_unread_total{id="RW0301"} 1\n', page)
+            self.assertIn('ragwortrelay_ring_refused_total{ring="decision"} 0\n', page)
+
     def test_graceful_stop_finishes_requests_in_flight(self):
         with Fleet(hosts=1, backends=1) as fleet:
             key = fleet.configure()
