--- a/src/balancing/balancer.cpp
+++ b/src/balancing/balancer.cpp
@@ -110,16 +110,15 @@
         const Configuration::Server &server = catalogue.m_servers.at(id);
         const Standing standing = standingOf(query, id);
         const bool isActive = server.m_use == Configuration::ServerUse::Active && server.m_weight > 0.0 && !isDraining(balancer, id, now);
-        if (!isActive || standing == Standing::Barred) {
+        const bool isExcluded = query.m_excluded != nullptr && query.m_excluded->contains(id);
+        if (!isActive || standing == Standing::Barred || isExcluded) {
             continue;
         }
         if (++inUse > subset) {
             break;
         }
-        if (query.m_excluded == nullptr || !query.m_excluded->contains(id)) {
-            const auto load = balancer.m_loads.find(id);
-            candidates.push_back({&server, load == balancer.m_loads.end() ? nullptr : &load->second, standing});
-        }
+        const auto load = balancer.m_loads.find(id);
+        candidates.push_back({&server, load == balancer.m_loads.end() ? nullptr : &load->second, standing});
     }
     return candidates;
 }
--- a/src/health/decider.cpp
+++ b/src/health/decider.cpp
@@ -14,7 +14,7 @@
 constexpr Duration UnreachableLifetime = std::chrono::seconds(5);
 constexpr Duration DrainingLifetime = std::chrono::seconds(60);
 constexpr Duration AdoptionTime = std::chrono::seconds(10); ///< After the begin of a term, for verdicts of the one before.
-constexpr Duration ClockMargin = std::chrono::milliseconds(200); ///< For clocks that run at different speeds during a lease.
+constexpr int ClockMarginPart = 30; ///< Of a lease that is left out, for clocks that run at different speeds.
 constexpr Duration SupporterLifetime = std::chrono::minutes(10);
 constexpr Duration WindowTime = std::chrono::milliseconds(500);
 constexpr Duration LongestWindow = std::chrono::seconds(5); ///< When there is evidence on too few servers.
@@ -501,7 +501,8 @@
         return false;
     }
     const bool isSameLife = incarnation == supporter.m_incarnation;
-    const TimePoint echoed = evidence.m_echo > Duration(0) ? TimePoint(evidence.m_echo) + report.m_supportFor - ClockMargin : TimePoint();
+    const TimePoint echoed =
+        evidence.m_echo > Duration(0) ? TimePoint(evidence.m_echo) + report.m_supportFor - report.m_supportFor / ClockMarginPart : TimePoint();
     supporter.m_supportsUntil = isSameLife ? std::max(supporter.m_supportsUntil, echoed) : echoed;
     supporter.m_incarnation = incarnation;
     supporter.m_sentAt = report.m_sentAt;
--- a/tests/balancing/balancer.cpp
+++ b/tests/balancing/balancer.cpp
@@ -171,6 +171,19 @@
         }
     }
 
+    SECTION("a retry finds another server when the subset holds only one")
+    {
+        Fixture fixture;
+        fixture.m_catalogue = catalogueOf(3, 2);
+        PickQuery query{HostId("h1"), 470, Booking, &fixture.m_excluded, &fixture.m_standings};
+        const auto first = pickServer(fixture.m_balancer, fixture.m_settings, fixture.m_catalogue, query, Start, fixture.m_random);
+        REQUIRE(first);
+        fixture.m_excluded.insert(*first);
+        const auto second = pickServer(fixture.m_balancer, fixture.m_settings, fixture.m_catalogue, query, Start, fixture.m_random);
+        REQUIRE(second);
+        CHECK(*second != *first);
+    }
+
     SECTION("the first servers stand in different failure domains")
     {
         const Configuration::Catalogue catalogue = catalogueOf(9, 2);
