--- a/benchmarks/measurehealth.cpp
+++ b/benchmarks/measurehealth.cpp
@@ -1,9 +1,10 @@
 // Measures balancing and health with the nodes of whole fleets in simulated time.
-// Usage: ragwortrelay_measure_health load|tenant|faults|quiet [SEEDS [kilauan|associacao]]
+// Usage: ragwortrelay_measure_health bytes|load|tenant|faults|quiet [SEEDS [kilauan|associacao]]
 
 #include "fakefleet.h"
 
 #include <ragwortrelay/detail/node/duties.h>
+#include <ragwortrelay/wire/peercodec.h>
 #include <ragwortrelay/workspaces/authentication.h>
 
 #include <algorithm>
@@ -589,6 +590,38 @@
     }
 }
 
+std::size_t bytesOf(const Node::PeerMessage &message)
+{
+    const Node::PeerBatch empty{HostId("host123"), 1'764'800'000'000, HostId("host456"), {}};
+    Node::PeerBatch batch = empty;
+    batch.m_messages.push_back(message);
+    return Wire::encodeBatch(batch).size() - Wire::encodeBatch(empty).size();
+}
+
+/// Prints the sizes of the messages at the size to design for.
+void measureBytes()
+{
+    constexpr double Services = 270.0;
+    constexpr double RequestsOfHost = 33'000.0 / 470.0; ///< A second.
+    constexpr double Interval = 5.0; ///< Seconds between reports with so many services.
+    Health::EvidenceReport report{1'764'800'000'000, Duration(9'000'000'000), seconds(30), 470, {{ServiceId("service123"), Duration(9'000'000'000), {}, {}}}};
+    const std::size_t emptyReport = bytesOf(report);
+    Health::ServerEvidence evidence{ServerId("server1234"), 2, 0, 0, 2, 9.5, 45.2, false, {}};
+    report.m_services[0].m_servers.push_back(evidence);
+    const std::size_t entry = bytesOf(report) - emptyReport;
+    Health::ServiceVerdicts verdicts{ServiceId("service123"), Duration(9'000'000'000), Duration(9'000'000'000), seconds(24), {}, {}};
+    const std::size_t emptyVerdicts = bytesOf(verdicts);
+    verdicts.m_servers.push_back({ServerId("server1234"), Health::Verdict::Ejected, 1});
+    const std::size_t verdict = bytesOf(verdicts) - emptyVerdicts;
+    const double reports = Services / Interval * static_cast<double>(emptyReport + emptyVerdicts);
+    const double entries = RequestsOfHost * static_cast<double>(entry);
+    std::printf("| part | bytes |\n|---|---|\n");
+    std::printf("| report on one service without evidence | %zu |\n| evidence on one server | %zu |\n", emptyReport, entry);
+    std::printf("| verdicts on one service without any | %zu |\n| one verdict | %zu |\n", emptyVerdicts, verdict);
+    std::printf("| sent by a host each second at 470 hosts and 270 services: reports and replies | %.0f |\n", reports);
+    std::printf("| the same: evidence, at most one entry for each request | %.0f |\n", entries);
+}
+
 }
 
 int main(int argc, char **argv)
@@ -599,7 +632,9 @@
     if (argc > 3) {
         chosen = {std::string(argv[3]) == "kilauan" ? chosen[0] : chosen[1]};
     }
-    if (what == "load") {
+    if (what == "bytes") {
+        measureBytes();
+    } else if (what == "load") {
         measureLoad(chosen, seeds);
     } else if (what == "tenant") {
         measureTenant(chosen, seeds);
@@ -608,7 +643,7 @@
     } else if (what == "quiet") {
         measureQuiet(chosen, seeds);
     } else {
-        std::fprintf(stderr, "usage: ragwortrelay_measure_health load|tenant|faults|quiet [SEEDS [kilauan|associacao]]\n");
+        std::fprintf(stderr, "usage: ragwortrelay_measure_health bytes|load|tenant|faults|quiet [SEEDS [kilauan|associacao]]\n");
         return 2;
     }
     return 0;
