--- a/include/ragwortrelay/settings/settings.h
+++ b/include/ragwortrelay/settings/settings.h
@@ -17,6 +17,7 @@
 struct HostSettings {
     HostId m_name;
     FailureDomainId m_domain;
+    std::string m_incarnation; ///< How the platform's list names this life of the host, empty for none.
 
     friend bool operator==(const HostSettings &, const HostSettings &) = default;
 };
@@ -99,6 +100,7 @@
 /// What is logged.
 struct LogSettings {
     std::string m_level = "info";
+    std::string m_layout = "%d{ISO8601} %-5p %m%n"; ///< Conversion pattern of log4cxx.
 
     friend bool operator==(const LogSettings &, const LogSettings &) = default;
 };
