Start process tests once the workspace's limit is in force

The set-up now waits for one admitted request on each host, as an operator would; no assertion changed.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -176,7 +176,11 @@
         code, out, err = cli(first, "key", "give", "w1")
         assert code == 0, err
         assert eventually(lambda: all(host.ready() for host in self.hosts))
-        return out.split()[-1]
+        key = out.split()[-1]
+        # A new workspace's limit is in force once all hosts are known to have its row.
+        for host in self.hosts:
+            assert eventually(lambda host=host: request(host.callers, "GET", "/", bearer(key)).status == 200)
+        return key
 
     def set(self, host, row, *cells):
         code, _, err = cli(host, "table", "set", row, *cells)
