Edit the operators' table as a spreadsheet file and report host by host

Cause: `table set` replaced all cells of a row, there was no file, no erasing, no withdrawing, and no command told where a change was in force.

Findings come together with FILE:LINE:COLUMN.

--- a/include/ragwortrelay/detail/cli/commandgroups.h
+++ b/include/ragwortrelay/detail/cli/commandgroups.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ragwortrelay/cli/commands.h>
+#include <ragwortrelay/core/error.h>
 
 #include <functional>
 #include <map>
@@ -20,6 +21,9 @@
 
 inline constexpr const char *Version = "0.1.0";
 
+/// Reads a table file that stands for a whole table, and returns what is wrong with it.
+Findings checkTableFile(const std::string &name);
+
 // Each group has a file of its own and adds its commands to the list.
 
 void addServeCommands(Commands &commands);
--- a/include/ragwortrelay/detail/cli/hostarguments.h
+++ b/include/ragwortrelay/detail/cli/hostarguments.h
@@ -5,6 +5,7 @@
 #include <tclap/CmdLine.h>
 
 #include <string>
+#include <vector>
 
 namespace RagwortRelay::Cli::detail {
 
@@ -15,11 +16,14 @@
     /// Adds the arguments to a command line, which must outlive this object.
     explicit HostArguments(TCLAP::CmdLine &commandLine);
 
-    /// Returns where the host is. Precondition: the command line was parsed.
+    /// Returns where the first host is. Precondition: the command line was parsed.
     [[nodiscard]] OperatorEndpoint endpoint();
 
+    /// Returns all hosts that may be asked, in order. Precondition: the command line was parsed.
+    [[nodiscard]] std::vector<OperatorEndpoint> endpoints();
+
 private:
-    TCLAP::ValueArg<std::string> m_host;
+    TCLAP::MultiArg<std::string> m_hosts;
     TCLAP::ValueArg<std::string> m_token;
 };
 
--- a/src/cli/checkcommand.cpp
+++ b/src/cli/checkcommand.cpp
@@ -10,20 +10,28 @@
 
 namespace {
 
-ExitCode check(Arguments arguments)
+ExitCode reportCheck(const std::string &name, const Findings &findings)
 {
-    TCLAP::CmdLine commandLine("Checks a settings file", ' ', Version);
-    TCLAP::UnlabeledValueArg<std::string> file("file", "Settings file", true, "", "FILE", commandLine);
-    commandLine.parse(arguments);
-    const auto settings = Settings::loadSettings(file.getValue());
-    if (!settings) {
-        printFindings(settings.error());
+    printFindings(findings);
+    if (!findings.empty()) {
         return ExitCode::WrongUsage;
     }
-    std::cout << file.getValue() << ": ok\n";
+    std::cout << name << ": ok\n";
     return ExitCode::Done;
 }
 
+ExitCode check(Arguments arguments)
+{
+    TCLAP::CmdLine commandLine("Checks a settings file, or a table file whose name ends in .csv", ' ', Version);
+    TCLAP::UnlabeledValueArg<std::string> file("file", "File", true, "", "FILE", commandLine);
+    commandLine.parse(arguments);
+    if (file.getValue().ends_with(".csv")) {
+        return reportCheck(file.getValue(), checkTableFile(file.getValue()));
+    }
+    const auto settings = Settings::loadSettings(file.getValue());
+    return reportCheck(file.getValue(), settings ? Findings() : settings.error());
+}
+
 }
 
 void addCheckCommands(Commands &commands)
--- a/src/cli/hostarguments.cpp
+++ b/src/cli/hostarguments.cpp
@@ -3,14 +3,23 @@
 namespace RagwortRelay::Cli::detail {
 
 HostArguments::HostArguments(TCLAP::CmdLine &commandLine)
-    : m_host("", "host", "Address of a host for operators", true, "", "IP:PORT", commandLine)
+    : m_hosts("", "host", "Address of a host for operators; the next one is asked when one can't be reached", true, "IP:PORT", commandLine)
     , m_token("", "token", "Operators' token of the fleet", true, "", "TOKEN", commandLine)
 {
 }
 
 OperatorEndpoint HostArguments::endpoint()
 {
-    return {m_host.getValue(), m_token.getValue()};
+    return endpoints().front();
+}
+
+std::vector<OperatorEndpoint> HostArguments::endpoints()
+{
+    std::vector<OperatorEndpoint> endpoints;
+    for (const std::string &host : m_hosts.getValue()) {
+        endpoints.push_back({host, m_token.getValue()});
+    }
+    return endpoints;
 }
 
 }
--- a/src/cli/keycommands.cpp
+++ b/src/cli/keycommands.cpp
@@ -1,32 +1,89 @@
 #include <ragwortrelay/detail/cli/commandgroups.h>
-#include <ragwortrelay/detail/cli/hostarguments.h>
 #include <ragwortrelay/detail/cli/output.h>
 #include <ragwortrelay/detail/cli/tableclient.h>
 #include <ragwortrelay/workspaces/authentication.h>
 
+#include <nlohmann/json.hpp>
+
 #include <iostream>
 
 namespace RagwortRelay::Cli::detail {
 
 namespace {
 
+using Configuration::RowEdit;
+using Configuration::RowKind;
+using Json = nlohmann::json;
+
 ExitCode keyGive(Arguments arguments)
 {
     constexpr std::size_t IdBytes = 6;
     constexpr std::size_t SecretBytes = 24;
-    TCLAP::CmdLine commandLine("Gives a key to a workspace", ' ', Version);
-    HostArguments host(commandLine);
+    TCLAP::CmdLine commandLine("Gives a key to a workspace and prints it, once", ' ', Version);
+    EditArguments edit(commandLine);
     TCLAP::UnlabeledValueArg<std::string> workspace("workspace", "Workspace", true, "", "WORKSPACE", commandLine);
     commandLine.parse(arguments);
     const std::string id = randomHex(IdBytes);
     const std::string secret = randomHex(SecretBytes);
     const std::string salt = randomHex(SecretBytes);
     const Configuration::Cells cells{{"workspace", workspace.getValue()}, {"salt", salt}, {"digest", Workspaces::digestOf(salt, secret)}};
-    const ExitCode code = editRow(host.endpoint(), {Configuration::RowKind::Key, id}, cells);
-    if (code == ExitCode::Done) {
-        std::cout << id << '.' << secret << '\n';
+    return submitEdit(edit, edit.makeEdit({RowEdit{{RowKind::Key, id}, 0, cells, false}}), {}, id + '.' + secret);
+}
+
+ExitCode keyWithdraw(Arguments arguments)
+{
+    TCLAP::CmdLine commandLine("Withdraws a key of a workspace", ' ', Version);
+    EditArguments edit(commandLine);
+    TCLAP::UnlabeledValueArg<std::string> workspace("workspace", "Workspace", true, "", "WORKSPACE", commandLine);
+    TCLAP::UnlabeledValueArg<std::string> id("id", "Id of the key: its part before the dot", true, "", "ID", commandLine);
+    commandLine.parse(arguments);
+    const auto table = readTable(edit.endpoints());
+    if (!table) {
+        printError(table.error());
+        return ExitCode::Failed;
+    }
+    const Configuration::Row *stored = Configuration::findRow(*table, {}, {RowKind::Key, id.getValue()});
+    if (stored == nullptr || stored->m_cells.at("workspace") != workspace.getValue()) {
+        printError({ErrorId::TableUnknownRow, "workspace '" + workspace.getValue() + "' has no key with this id"});
+        return ExitCode::Failed;
+    }
+    RowEdit wanted{stored->m_key, stored->m_version, stored->m_cells, false};
+    wanted.m_cells["withdrawn"] = "yes";
+    return submitEdit(edit, edit.makeEdit({wanted}));
+}
+
+ExitCode keyList(Arguments arguments)
+{
+    TCLAP::CmdLine commandLine("Lists the keys of all workspaces or of one, without their secrets", ' ', Version);
+    HostArguments hosts(commandLine);
+    TCLAP::SwitchArg json("", "json", "Prints the result as JSON", commandLine);
+    TCLAP::UnlabeledValueArg<std::string> workspace("workspace", "Workspace", false, "", "WORKSPACE", commandLine);
+    commandLine.parse(arguments);
+    const auto table = readTable(hosts.endpoints());
+    if (!table) {
+        printError(table.error());
+        return ExitCode::Failed;
+    }
+    Json list = Json::array();
+    for (const auto &[key, row] : table->m_rows) {
+        if (key.m_kind != RowKind::Key || row.m_erased) {
+            continue;
+        }
+        const std::string owner = row.m_cells.at("workspace");
+        const bool isWithdrawn = row.m_cells.contains("withdrawn") && row.m_cells.at("withdrawn") == "yes";
+        if (workspace.getValue().empty() || owner == workspace.getValue()) {
+            list.push_back(Json{{"workspace", owner}, {"id", key.m_name}, {"withdrawn", isWithdrawn}, {"version", row.m_version}});
+        }
+    }
+    if (json.getValue()) {
+        std::cout << list.dump() << '\n';
+        return ExitCode::Done;
+    }
+    for (const Json &entry : list) {
+        std::cout << entry["workspace"].get<std::string>() << ' ' << entry["id"].get<std::string>()
+                  << (entry["withdrawn"].get<bool>() ? " withdrawn" : " given") << " version " << entry["version"] << '\n';
     }
-    return code;
+    return ExitCode::Done;
 }
 
 }
@@ -34,6 +91,8 @@
 void addKeyCommands(Commands &commands)
 {
     commands["key give"] = keyGive;
+    commands["key withdraw"] = keyWithdraw;
+    commands["key list"] = keyList;
 }
 
 }
--- a/src/cli/tableclient.cpp
+++ b/src/cli/tableclient.cpp
@@ -5,7 +5,11 @@
 #include <nlohmann/json.hpp>
 #include <openssl/rand.h>
 
-#include <vector>
+#include <algorithm>
+#include <chrono>
+#include <iostream>
+#include <thread>
+#include <unistd.h>
 
 namespace RagwortRelay::Cli::detail {
 
@@ -13,22 +17,196 @@
 
 using Json = nlohmann::json;
 
-std::uint64_t storedVersion(const OperatorEndpoint &endpoint, const Configuration::RowKey &key)
+constexpr long HttpOk = 200;
+constexpr std::uint32_t DefaultWaitSeconds = 18;
+constexpr std::size_t ChangeIdBytes = 16;
+constexpr auto SpreadInterval = std::chrono::milliseconds(200);
+constexpr auto WaitAfterAcceptance = std::chrono::seconds(3);
+
+std::string describe(const Configuration::Cells &cells)
+{
+    std::string text;
+    for (const auto &[column, value] : cells) {
+        text += ' ' + column + '=' + value;
+    }
+    return text.empty() ? " (no cells)" : text;
+}
+
+std::string nameOf(const Configuration::RowKey &key)
+{
+    return toString(key.m_kind) + '/' + key.m_name;
+}
+
+void printConflict(const Node::EditConflict &conflict, const Configuration::EditTable &edit)
+{
+    for (const Configuration::Row &stored : conflict.m_storedRows) {
+        const auto wanted = std::find_if(edit.m_rows.begin(), edit.m_rows.end(), [&](const auto &row) { return row.m_key == stored.m_key; });
+        printError({ErrorId::TableConflict, nameOf(stored.m_key) + " was changed since the version that the edit is based on"});
+        if (wanted != edit.m_rows.end()) {
+            std::cerr << "  wanted (based on version " << wanted->m_baseVersion << "):" << (wanted->m_erase ? " erased" : describe(wanted->m_cells)) << '\n';
+        }
+        std::cerr << "  stored (version " << stored.m_version << "):" << (stored.m_erased ? " erased" : describe(stored.m_cells)) << '\n';
+    }
+}
+
+Json jsonOf(const Node::SpreadShown &spread)
+{
+    Json hosts = Json::array();
+    for (const Node::HostVersion &line : spread.m_hosts) {
+        hosts.push_back(Json{{"host", line.m_host.text()}, {"version", line.m_version}, {"inForce", line.m_version >= spread.m_version}});
+    }
+    return Json{{"version", spread.m_version}, {"accepted", spread.m_accepted}, {"hosts", hosts}};
+}
+
+std::size_t countInForce(const Node::SpreadShown &spread)
+{
+    const auto inForce = [&](const Node::HostVersion &line) { return line.m_version >= spread.m_version; };
+    return static_cast<std::size_t>(std::count_if(spread.m_hosts.begin(), spread.m_hosts.end(), inForce));
+}
+
+/// Shows the state of the spread on a terminal, on a line that the next call overwrites.
+void showProgress(const Node::SpreadShown &spread)
 {
-    const auto response = askHost(endpoint, "/ragwortrelay/table", "");
-    if (!response || response->m_status != 200) {
-        return 0;
+    if (isatty(STDERR_FILENO) != 0) {
+        std::cerr << "\rversion " << spread.m_version << ": in force on " << countInForce(spread) << " of " << spread.m_hosts.size() << " hosts " << std::flush;
+    }
+}
+
+void endProgress()
+{
+    if (isatty(STDERR_FILENO) != 0) {
+        std::cerr << '\n';
+    }
+}
+
+/// Waits until the version is in force on all hosts; once it is accepted, only a little longer.
+Node::SpreadShown waitForSpread(EditArguments &arguments, std::uint64_t version)
+{
+    using Clock = std::chrono::steady_clock;
+    const std::string path = "/ragwortrelay/spread/" + std::to_string(version);
+    Clock::time_point end = Clock::now() + std::chrono::seconds(arguments.waitSeconds());
+    Node::SpreadShown last{version, false, {}};
+    while (true) {
+        const auto response = askAny(arguments.endpoints(), path, "");
+        const auto spread = response ? Runtime::decodeSpread(response->m_body) : tl::unexpected(response.error());
+        if (spread) {
+            if (spread->m_accepted && !last.m_accepted) {
+                end = std::min(end, Clock::now() + WaitAfterAcceptance);
+            }
+            last = *spread;
+            showProgress(last);
+        }
+        const bool isComplete = last.m_accepted && countInForce(last) == last.m_hosts.size();
+        if (isComplete || Clock::now() >= end) {
+            endProgress();
+            return last;
+        }
+        std::this_thread::sleep_for(SpreadInterval);
+    }
+}
+
+void printSpread(const Node::SpreadShown &spread)
+{
+    const std::size_t inForce = countInForce(spread);
+    std::cout << "version " << spread.m_version << (spread.m_accepted ? " accepted" : " durable, not yet accepted") << ": in force on " << inForce << " of "
+              << spread.m_hosts.size() << " hosts\n";
+    for (const Node::HostVersion &line : spread.m_hosts) {
+        if (line.m_version >= spread.m_version) {
+            continue;
+        }
+        std::cerr << "  not known to be in force on " << line.m_host.text() << ": ";
+        if (line.m_heardAgo) {
+            const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(*line.m_heardAgo).count();
+            std::cerr << "version " << line.m_version << ", heard " << seconds << " s ago\n";
+        } else {
+            std::cerr << "not heard of\n";
+        }
+    }
+}
+
+ExitCode finishEdit(EditArguments &arguments, const Configuration::EditTable &edit, std::uint64_t version, const std::string &key)
+{
+    const Node::SpreadShown spread = waitForSpread(arguments, version);
+    if (arguments.isJson()) {
+        Json json = jsonOf(spread);
+        json["change"] = edit.m_changeId;
+        if (!key.empty()) {
+            json["key"] = key;
+        }
+        std::cout << json.dump() << '\n';
+    } else {
+        printSpread(spread);
+        std::cout << key << (key.empty() ? "" : "\n");
     }
-    const Json table = Json::parse(response->m_body);
-    for (const Json &row : table.at("rows")) {
-        const bool isSame = row.at("kind") == Configuration::toString(key.m_kind) && row.at("name") == key.m_name;
-        if (isSame && !row.at("erased").get<bool>()) {
-            return row.at("version").get<std::uint64_t>();
+    return spread.m_accepted ? ExitCode::Done : ExitCode::Failed;
+}
+
+/// Sends the edit to the hosts in order until one knows what became of it.
+tl::expected<Node::OperatorReply, Error> sendEdit(const std::vector<OperatorEndpoint> &endpoints, const Configuration::EditTable &edit)
+{
+    const std::string body = Runtime::encodeEdit(edit);
+    tl::expected<Node::OperatorReply, Error> last = Node::EditUnresolved{"no host was asked", false};
+    bool mayBeWritten = false;
+    for (const OperatorEndpoint &endpoint : endpoints) {
+        const auto response = askHost(endpoint, "/ragwortrelay/table", body);
+        if (!response) {
+            // The host may have taken the edit before it went away.
+            mayBeWritten = true;
+            last = tl::unexpected(response.error());
+            continue;
         }
+        last = Runtime::decodeEditReply({static_cast<std::uint16_t>(response->m_status), response->m_body});
+        if (last && !std::holds_alternative<Node::EditUnresolved>(*last)) {
+            return last;
+        }
+    }
+    if (last && mayBeWritten) {
+        std::get<Node::EditUnresolved>(*last).m_mayBeWritten = true;
     }
-    return 0;
+    return last;
+}
+
+ExitCode printUnresolved(const Configuration::EditTable &edit, const std::string &reason, bool mayBeWritten)
+{
+    printError({ErrorId::PlatformUnreachable, reason});
+    if (mayBeWritten) {
+        std::cerr << "the change may have been written; the same command with --change " << edit.m_changeId << " tells, and writes it at most once\n";
+    } else {
+        std::cerr << "nothing was written\n";
+    }
+    return ExitCode::Failed;
+}
+
+}
+
+EditArguments::EditArguments(TCLAP::CmdLine &commandLine)
+    : m_hosts(commandLine)
+    , m_wait("", "wait", "Longest time to wait until the change is in force", false, DefaultWaitSeconds, "SECONDS", commandLine)
+    , m_json("", "json", "Prints the result as JSON", commandLine)
+    , m_author("", "author", "Name that is kept with the change", false, "operator", "NAME", commandLine)
+    , m_change("", "change", "Id of a change that was sent before and may have been written", false, "", "ID", commandLine)
+{
+}
+
+std::vector<OperatorEndpoint> EditArguments::endpoints()
+{
+    return m_hosts.endpoints();
+}
+
+std::uint32_t EditArguments::waitSeconds()
+{
+    return m_wait.getValue();
+}
+
+bool EditArguments::isJson()
+{
+    return m_json.getValue();
 }
 
+Configuration::EditTable EditArguments::makeEdit(std::vector<Configuration::RowEdit> rows)
+{
+    const std::string id = m_change.getValue().empty() ? randomHex(ChangeIdBytes) : m_change.getValue();
+    return {id, m_author.getValue(), std::move(rows)};
 }
 
 std::string randomHex(std::size_t bytes)
@@ -44,13 +222,59 @@
     return text;
 }
 
-ExitCode editRow(const OperatorEndpoint &endpoint, const Configuration::RowKey &key, const Configuration::Cells &cells)
+tl::expected<Configuration::RowKey, Error> parseRowKey(const std::string &text)
 {
-    Node::EditTable edit;
-    edit.m_changeId = randomHex(16);
-    edit.m_author = "operator";
-    edit.m_rows.push_back({key, storedVersion(endpoint, key), cells, false});
-    return printAnswer(askHost(endpoint, "/ragwortrelay/table", Runtime::encodeEdit(edit)));
+    const std::size_t slash = text.find('/');
+    const auto [kind, known] = Configuration::rowKindFrom(text.substr(0, slash));
+    if (!known || slash == std::string::npos || slash + 1 == text.size()) {
+        return tl::unexpected(Error{ErrorId::TableUnknownRow, "'" + text + "' is not KIND/NAME"});
+    }
+    return Configuration::RowKey{kind, text.substr(slash + 1)};
+}
+
+tl::expected<OperatorResponse, Error> askAny(const std::vector<OperatorEndpoint> &endpoints, const std::string &path, const std::string &body)
+{
+    tl::expected<OperatorResponse, Error> response = tl::unexpected(Error{ErrorId::OperatorUnreachable, "no host given"});
+    for (const OperatorEndpoint &endpoint : endpoints) {
+        response = askHost(endpoint, path, body);
+        if (response) {
+            break;
+        }
+    }
+    return response;
+}
+
+tl::expected<Configuration::Table, Error> readTable(const std::vector<OperatorEndpoint> &endpoints)
+{
+    const auto response = askAny(endpoints, "/ragwortrelay/table", "");
+    if (!response) {
+        return tl::unexpected(response.error());
+    }
+    if (response->m_status != HttpOk) {
+        return tl::unexpected(Error{ErrorId::OperatorUnauthorized, "the host answered " + std::to_string(response->m_status) + ' ' + response->m_body});
+    }
+    return Runtime::decodeTable(response->m_body);
+}
+
+ExitCode submitEdit(EditArguments &arguments, const Configuration::EditTable &edit, const Configuration::TableFile &file, const std::string &key)
+{
+    const auto reply = sendEdit(arguments.endpoints(), edit);
+    if (!reply) {
+        return printUnresolved(edit, reply.error().m_message, true);
+    }
+    if (const auto *done = std::get_if<Node::EditDone>(&*reply)) {
+        return finishEdit(arguments, edit, done->m_version, key);
+    }
+    if (const auto *conflict = std::get_if<Node::EditConflict>(&*reply)) {
+        printConflict(*conflict, edit);
+        return ExitCode::Failed;
+    }
+    if (const auto *refused = std::get_if<Node::EditRefused>(&*reply)) {
+        printFindings(Configuration::placeFindings(refused->m_findings, file));
+        return ExitCode::Failed;
+    }
+    const auto &unresolved = std::get<Node::EditUnresolved>(*reply);
+    return printUnresolved(edit, unresolved.m_reason, unresolved.m_mayBeWritten);
 }
 
 }
--- a/src/cli/tablecommands.cpp
+++ b/src/cli/tablecommands.cpp
@@ -1,53 +1,197 @@
 #include <ragwortrelay/detail/cli/commandgroups.h>
-#include <ragwortrelay/detail/cli/hostarguments.h>
 #include <ragwortrelay/detail/cli/output.h>
 #include <ragwortrelay/detail/cli/tableclient.h>
 
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace RagwortRelay::Cli::detail {
 
 namespace {
 
+using Configuration::Cells;
+using Configuration::RowEdit;
+
+ExitCode writeFile(const std::string &name, const std::string &text)
+{
+    std::ofstream file(name);
+    file << text;
+    file.close();
+    if (!file) {
+        printError({ErrorId::TableUnreadable, name + ": the file can't be written"});
+        return ExitCode::Failed;
+    }
+    return ExitCode::Done;
+}
+
 ExitCode tableShow(Arguments arguments)
 {
-    TCLAP::CmdLine commandLine("Prints the operators' table", ' ', Version);
-    HostArguments host(commandLine);
+    TCLAP::CmdLine commandLine("Prints the operators' table as JSON, or writes it as a table file", ' ', Version);
+    HostArguments hosts(commandLine);
+    TCLAP::ValueArg<std::string> csv("", "csv", "Writes a table file; - for standard output", false, "", "FILE", commandLine);
     commandLine.parse(arguments);
-    return printAnswer(askHost(host.endpoint(), "/ragwortrelay/table", ""));
+    if (csv.getValue().empty()) {
+        return printAnswer(askAny(hosts.endpoints(), "/ragwortrelay/table", ""));
+    }
+    const auto table = readTable(hosts.endpoints());
+    if (!table) {
+        printError(table.error());
+        return ExitCode::Failed;
+    }
+    const std::string text = Configuration::writeTableFile(*table);
+    if (csv.getValue() == "-") {
+        std::cout << text;
+        return ExitCode::Done;
+    }
+    return writeFile(csv.getValue(), text);
+}
+
+/// Adds the assignments of a command line to the cells of a row; an empty value takes a cell away.
+Findings assign(Cells &cells, const std::vector<std::string> &assignments)
+{
+    Findings findings;
+    for (const std::string &assignment : assignments) {
+        const std::size_t equals = assignment.find('=');
+        if (equals == std::string::npos || equals == 0) {
+            findings.push_back({{"argument", 0, 0}, ErrorId::TableBadCell, "'" + assignment + "' is not COLUMN=VALUE"});
+            continue;
+        }
+        const std::string column = assignment.substr(0, equals);
+        const std::string value = assignment.substr(equals + 1);
+        if (value.empty()) {
+            cells.erase(column);
+        } else {
+            cells[column] = value;
+        }
+    }
+    return findings;
+}
+
+/// Returns the edit of a row as it is stored now; without cells when there is none.
+RowEdit startEdit(const Configuration::Table &table, const Configuration::RowKey &key)
+{
+    const Configuration::Row *stored = Configuration::findRow(table, {}, key);
+    return stored == nullptr ? RowEdit{key, 0, {}, false} : RowEdit{key, stored->m_version, stored->m_cells, false};
 }
 
 ExitCode tableSet(Arguments arguments)
 {
-    TCLAP::CmdLine commandLine("Sets a row of the operators' table", ' ', Version);
-    HostArguments host(commandLine);
+    TCLAP::CmdLine commandLine("Sets cells of a row of the operators' table; the other cells stay", ' ', Version);
+    EditArguments edit(commandLine);
+    TCLAP::ValueArg<std::uint64_t> base(
+        "", "base", "Version of the row that the edit is based on; by default the one that is read", false, 0, "VERSION", commandLine);
     TCLAP::UnlabeledValueArg<std::string> row("row", "Kind and name of the row", true, "", "KIND/NAME", commandLine);
-    TCLAP::UnlabeledMultiArg<std::string> assignments("cells", "Cells of the row", false, "COLUMN=VALUE", commandLine);
+    TCLAP::UnlabeledMultiArg<std::string> assignments("cells", "Cells; an empty value takes one away", false, "COLUMN=VALUE", commandLine);
     commandLine.parse(arguments);
-    const std::size_t slash = row.getValue().find('/');
-    const auto [kind, known] = Configuration::rowKindFrom(row.getValue().substr(0, slash));
-    if (!known || slash == std::string::npos) {
-        std::cerr << "error " << toString(ErrorId::TableUnknownRow) << ": '" << row.getValue() << "' is not KIND/NAME\n";
+    const auto key = parseRowKey(row.getValue());
+    if (!key) {
+        printError(key.error());
         return ExitCode::WrongUsage;
     }
-    Configuration::Cells cells;
-    for (const std::string &assignment : assignments.getValue()) {
-        const std::size_t equals = assignment.find('=');
-        if (equals == std::string::npos) {
-            std::cerr << "error " << toString(ErrorId::TableBadCell) << ": '" << assignment << "' is not COLUMN=VALUE\n";
-            return ExitCode::WrongUsage;
+    const auto table = readTable(edit.endpoints());
+    if (!table) {
+        printError(table.error());
+        return ExitCode::Failed;
+    }
+    RowEdit wanted = startEdit(*table, *key);
+    wanted.m_baseVersion = base.isSet() ? base.getValue() : wanted.m_baseVersion;
+    const Findings findings = assign(wanted.m_cells, assignments.getValue());
+    if (!findings.empty()) {
+        printFindings(findings);
+        return ExitCode::WrongUsage;
+    }
+    return submitEdit(edit, edit.makeEdit({wanted}));
+}
+
+ExitCode tableErase(Arguments arguments)
+{
+    TCLAP::CmdLine commandLine("Erases a row of the operators' table", ' ', Version);
+    EditArguments edit(commandLine);
+    TCLAP::UnlabeledValueArg<std::string> row("row", "Kind and name of the row", true, "", "KIND/NAME", commandLine);
+    commandLine.parse(arguments);
+    const auto key = parseRowKey(row.getValue());
+    if (!key) {
+        printError(key.error());
+        return ExitCode::WrongUsage;
+    }
+    const auto table = readTable(edit.endpoints());
+    if (!table) {
+        printError(table.error());
+        return ExitCode::Failed;
+    }
+    RowEdit wanted = startEdit(*table, *key);
+    wanted.m_cells.clear();
+    wanted.m_erase = true;
+    if (wanted.m_baseVersion == 0) {
+        printError({ErrorId::TableUnknownRow, "there is no row " + row.getValue()});
+        return ExitCode::Failed;
+    }
+    return submitEdit(edit, edit.makeEdit({wanted}));
+}
+
+tl::expected<Configuration::TableFile, Findings> loadTableFile(const std::string &name)
+{
+    std::ifstream file(name, std::ios::binary);
+    if (!file) {
+        return tl::unexpected(Findings{{{name, 0, 0}, ErrorId::TableUnreadable, "the file can't be read"}});
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return Configuration::readTableFile(text.str(), name);
+}
+
+void printEdits(const std::vector<RowEdit> &edits)
+{
+    for (const RowEdit &edit : edits) {
+        std::cout << (edit.m_baseVersion == 0 ? "new     " : "changed ") << toString(edit.m_key.m_kind) << '/' << edit.m_key.m_name;
+        for (const auto &[column, value] : edit.m_cells) {
+            std::cout << ' ' << column << '=' << value;
         }
-        cells[assignment.substr(0, equals)] = assignment.substr(equals + 1);
+        std::cout << '\n';
+    }
+    std::cout << edits.size() << (edits.size() == 1 ? " row differs\n" : " rows differ\n");
+}
+
+ExitCode tableApply(Arguments arguments)
+{
+    TCLAP::CmdLine commandLine("Writes the rows of a table file that were edited, all or none", ' ', Version);
+    EditArguments edit(commandLine);
+    TCLAP::SwitchArg dryRun("", "dry-run", "Only prints what would be written", commandLine);
+    TCLAP::UnlabeledValueArg<std::string> name("file", "Table file", true, "", "FILE", commandLine);
+    commandLine.parse(arguments);
+    const auto file = loadTableFile(name.getValue());
+    if (!file) {
+        printFindings(file.error());
+        return ExitCode::WrongUsage;
+    }
+    const auto table = readTable(edit.endpoints());
+    if (!table) {
+        printError(table.error());
+        return ExitCode::Failed;
+    }
+    const std::vector<RowEdit> edits = Configuration::editsOf(*file, *table);
+    if (dryRun.getValue() || edits.empty()) {
+        printEdits(edits);
+        return ExitCode::Done;
     }
-    return editRow(host.endpoint(), {kind, row.getValue().substr(slash + 1)}, cells);
+    return submitEdit(edit, edit.makeEdit(edits), *file);
 }
 
 }
 
+Findings checkTableFile(const std::string &name)
+{
+    const auto file = loadTableFile(name);
+    return file ? Configuration::checkWholeTable(*file) : file.error();
+}
+
 void addTableCommands(Commands &commands)
 {
     commands["table show"] = tableShow;
     commands["table set"] = tableSet;
+    commands["table erase"] = tableErase;
+    commands["table apply"] = tableApply;
 }
 
 }
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -68,10 +68,10 @@
 class Host(Process):
     """A host of the product."""
 
-    def __init__(self, folder, name, domain, platform, extra=""):
+    def __init__(self, folder, name, domain, platform, extra="", seeds=()):
         path = os.path.join(folder, name + ".yaml")
         with open(path, "w", encoding="utf-8") as file:
-            file.write(SETTINGS.format(name=name, domain=domain, token=TOKEN, platform=platform) + extra)
+            file.write(SETTINGS.format(name=name, domain=domain, token=TOKEN, platform=platform, seeds=", ".join(seeds)) + extra)
         super().__init__([PRODUCT, "serve", "--settings", path])
         addresses = dict(word.split("=") for word in self.first_line[1:])
         self.callers = addresses["callers"]
@@ -101,6 +101,7 @@
   certificate: {name}.crt
   key: {name}.key
   authority: fleet-authority.crt
+  seeds: [{seeds}]
 stop:
   balancer-lag: 300ms
 """
--- /dev/null
+++ b/tests/processes/test_configuration.py
@@ -0,0 +1,129 @@
+"""Operators and keys, with real processes."""
+
+import http.client
+import json
+import os
+import subprocess
+import threading
+import unittest
+
+from fleet import PRODUCT, TOKEN, Fleet, Host, bearer, cli, eventually, request
+
+
+def version_of(host):
+    return json.loads(request(host.operators, "GET", "/ragwortrelay/status", bearer(TOKEN)).body)["version"]
+
+
+class Configuration(unittest.TestCase):
+    def test_two_operators_on_one_row(self):
+        with Fleet(hosts=2) as fleet:
+            fleet.configure()
+            base = ["--base", str(self.row_version(fleet.hosts[0], "workspace", "w1"))]
+            first = cli(fleet.hosts[0], "table", "set", *base, "workspace/w1", "rate=7")
+            self.assertEqual(first[0], 0, first[2])
+            code, _, err = cli(fleet.hosts[1], "table", "set", *base, "workspace/w1", "rate=8")
+            self.assertEqual(code, 1)
+            self.assertIn("RW0205", err)
+            self.assertIn("rate=8", err)
+            self.assertIn("rate=7", err)
+            # Only the named cell was changed.
+            self.assertIn("burst=1000", err)
+
+    def test_withdrawn_key_on_an_open_connection(self):
+        with Fleet(hosts=2) as fleet:
+            key = fleet.configure()
+            self.assertTrue(eventually(lambda: len({version_of(host) for host in fleet.hosts}) == 1))
+            connections = [http.client.HTTPConnection(host.callers, timeout=10) for host in fleet.hosts]
+            self.assertEqual([self.status_on(connection, key) for connection in connections], [200, 200])
+            code, out, err = cli(fleet.hosts[0], "key", "withdraw", "w1", key.split(".")[0])
+            self.assertEqual(code, 0, err)
+            self.assertIn("accepted: in force on 2 of 2 hosts", out)
+            self.assertEqual([self.status_on(connection, key) for connection in connections], [401, 401])
+            for connection in connections:
+                connection.close()
+            self.assertIn("withdrawn", cli(fleet.hosts[1], "key", "list", "w1")[1])
+
+    def test_key_in_the_target_reaches_no_backend_server(self):
+        with Fleet(hosts=1) as fleet:
+            key = fleet.configure()
+            answer = request(fleet.hosts[0].callers, "GET", "/a?key=" + key.split(".")[1], bearer(key))
+            self.assertEqual(answer.status, 400)
+            self.assertEqual(answer.headers["Ragwortrelay-Outcome"], "not-run")
+
+    def test_lost_answer_to_the_write(self):
+        with Fleet(hosts=2) as fleet:
+            fleet.configure()
+            before = version_of(fleet.hosts[0])
+            fleet.platform.control("/standin/fault?mode=lose-answer")
+            timer = threading.Timer(2.0, lambda: fleet.platform.control("/standin/fault?mode=none"))
+            timer.start()
+            code, out, err = cli(fleet.hosts[0], "table", "set", "workspace/w1", "rate=5")
+            timer.join()
+            self.assertEqual(code, 0, err)
+            self.assertIn(f"version {before + 1} accepted", out)
+            self.assertEqual(version_of(fleet.hosts[0]), before + 1)
+
+    def test_large_table_in_one_go(self):
+        with Fleet(hosts=2) as fleet:
+            fleet.configure()
+            path = os.path.join(fleet.folder.name, "table.csv")
+            self.assertEqual(cli(fleet.hosts[0], "table", "show", "--csv", path)[0], 0)
+            with open(path, encoding="utf-8") as file:
+                header = file.readline().strip().split(",")
+            with open(path, "a", encoding="utf-8") as file:
+                for i in range(20000):
+                    cells = {"kind": "workspace", "name": f"big{i}", "rate": "5", "burst": "9"}
+                    file.write(",".join(cells.get(column, "") for column in header) + "\n")
+            self.assertEqual(subprocess.run([PRODUCT, "check", path], capture_output=True, timeout=60, check=False).returncode, 0)
+            code, out, err = cli(fleet.hosts[0], "table", "apply", "--dry-run", path)
+            self.assertEqual((code, out.splitlines()[-1]), (0, "20000 rows differ"), err)
+            code, out, err = cli(fleet.hosts[0], "table", "apply", "--json", path)
+            self.assertEqual(code, 0, err)
+            self.assertEqual([line["inForce"] for line in json.loads(out)["hosts"]], [True, True])
+            self.assertEqual(self.row_version(fleet.hosts[1], "workspace", "big19999"), json.loads(out)["version"])
+
+    def test_host_without_the_store_and_the_others_is_isolated(self):
+        with Fleet(hosts=3) as fleet:
+            key = fleet.configure()
+            fleet.platform.control("/standin/fault?mode=down")
+            for host in fleet.hosts[:2]:
+                host.close()
+            last = fleet.hosts[2]
+            self.assertTrue(eventually(lambda: request(last.callers, "GET", "/a", bearer(key)).status == 503))
+            answer = request(last.callers, "GET", "/a", bearer(key))
+            self.assertEqual((json.loads(answer.body)["id"], answer.headers["Ragwortrelay-Outcome"]), ("RW0315", "not-run"))
+            self.assertTrue(eventually(lambda: not last.ready()))
+
+    def test_new_host_joins_by_the_others_while_the_store_is_down(self):
+        with Fleet(hosts=3) as fleet:
+            key = fleet.configure()
+            self.assertTrue(eventually(lambda: len(self.spread_of(fleet.hosts[0])) == 3))
+            fleet.platform.control("/standin/fault?mode=down")
+            fleet.authority.issue("h3")
+            seeds = [host.peers for host in fleet.hosts[:2]]
+            newcomer = Host(fleet.folder.name, "h3", "d0", fleet.platform.address, seeds=seeds)
+            fleet.hosts.append(newcomer)
+            self.assertTrue(eventually(newcomer.ready))
+            self.assertEqual(request(newcomer.callers, "GET", "/a", bearer(key)).status, 200)
+            # The others go on too: most of them answer one another.
+            self.assertFalse(eventually(lambda: not all(host.ready() for host in fleet.hosts), seconds=12))
+
+    @staticmethod
+    def spread_of(host):
+        return json.loads(request(host.operators, "GET", "/ragwortrelay/status", bearer(TOKEN)).body)["configuration"]["hosts"]
+
+    @staticmethod
+    def status_on(connection, key):
+        connection.request("GET", "/a", headers=bearer(key))
+        response = connection.getresponse()
+        response.read()
+        return response.status
+
+    @staticmethod
+    def row_version(host, kind, name):
+        table = json.loads(request(host.operators, "GET", "/ragwortrelay/table", bearer(TOKEN)).body)
+        return next(row["version"] for row in table["rows"] if row["kind"] == kind and row["name"] == name)
+
+
+if __name__ == "__main__":
+    unittest.main()
