Keep one version chain, spread it by hints and judge how fresh it is

Cause: an edit whose answer was lost was answered as unresolved, edits were not queued, a change was called done before any other host had it, and a host cut off from the store and its peers served withdrawn keys for ever.

Edits queue on their host and go up to 33 in one transaction with an item for each change id; a lost answer is resolved by reading for it. Hosts hint one another, ask for attested versions, fetch what they lack, and stop serving workspaces when nothing confirms their version and no majority of the roster answers. Keys are checked again before each attempt.

--- a/include/ragwortrelay/configuration/catalogue.h
+++ b/include/ragwortrelay/configuration/catalogue.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -94,6 +95,16 @@
 /// @param findings receives an entry for each bad cell; its row is left out
 Catalogue buildCatalogue(const Table &table, Findings &findings);
 
+/// Brings a catalogue up to date with a change; the result is that of buildCatalogue() on the table after the change.
+/// Takes time in the order of the rows written, and of the routes if one of them is written.
+void updateCatalogue(Catalogue &catalogue, const Change &change);
+
+/// Returns the columns that rows of a kind may have.
+std::set<std::string> columnsOf(RowKind kind);
+
+/// Formats the message about an unknown column, with the nearest known one.
+std::string unknownColumn(const std::string &column, const std::set<std::string> &columns);
+
 /// Returns the route for a request, or nullptr. The path is without its query.
 const Route *findRoute(const Catalogue &catalogue, const std::string &method, const std::string &path);
 
--- a/include/ragwortrelay/detail/node/duties.h
+++ b/include/ragwortrelay/detail/node/duties.h
@@ -121,13 +121,61 @@
 
 // Configuration
 
-/// Starts a read of the changes when the last one is old enough.
-void pollConfiguration(Node &node, TimePoint now, Actions &actions);
-void onChangesRead(Node &node, const Platform::Result &result, TimePoint now, Actions &actions);
-void onChangeAppended(Node &node, const PendingCall &call, const Platform::Result &result, TimePoint now, Actions &actions);
+/// Does what is due by time: polls, questions to other hosts, edits, and the judgement whether this host may serve workspaces.
+void tickConfiguration(Node &node, TimePoint now, Actions &actions);
 
-/// Appends the change of an edit to the chain, or answers what stands against it.
-void startEdit(Node &node, OperatorCallId call, const EditTable &edit, Actions &actions);
+/// Polls the store now, or once the running poll is over.
+void pollSoon(Node &node, TimePoint now, Actions &actions);
+
+/// Handles the answer to a call with one of the configuration's purposes.
+void onConfigurationAnswered(Node &node, const PendingCall &call, const Platform::Result &result, TimePoint now, Actions &actions);
+
+/// Brings a durable change in force when it is the next one; returns whether it was.
+/// @param body encoded change
+bool bringInForce(Node &node, std::uint64_t version, const std::string &body, TimePoint now, Actions &actions);
+
+/// Brings a whole table in force when its version is higher.
+void adoptSnapshot(Node &node, const Configuration::Snapshot &snapshot, TimePoint now, Actions &actions);
+
+/// Tells whether this host's configuration is fresh enough to serve workspaces.
+bool mayServeWorkspaces(Node &node, TimePoint now);
+
+/// Checks once more, before an attempt starts, that the key of a request is still valid and that this host may serve workspaces.
+Progress checkWorkspace(Node &node, ExchangeId id, const Exchange &exchange, TimePoint now, Actions &actions);
+
+// Configuration: edits
+
+/// Takes an edit into the queue.
+void queueEdit(Node &node, OperatorCallId call, const EditTable &edit, TimePoint now, Actions &actions);
+
+/// Starts the next write when none runs, and answers edits that can't be written.
+void runEdits(Node &node, TimePoint now, Actions &actions);
+void onChangeLookedUp(Node &node, const Platform::Result &result, TimePoint now, Actions &actions);
+void onChangeObjectWritten(Node &node, const Platform::Result &result, TimePoint now, Actions &actions);
+void onChangesAppended(Node &node, const Platform::Result &result, TimePoint now, Actions &actions);
+
+// Configuration: snapshots and trimming of the log
+
+/// Starts a snapshot when this host made a version at which one is due.
+void writeSnapshot(Node &node, std::uint64_t firstVersion, TimePoint now, Actions &actions);
+void onSnapshotStep(Node &node, const PendingCall &call, const Platform::Result &result, TimePoint now, Actions &actions);
+
+// Configuration: between hosts
+
+/// Handles a message about the configuration; leaves out all others.
+void onConfigurationSpoke(Node &node, const PeerSpoke &spoke, TimePoint now, Actions &actions);
+
+/// Notes the version that a host says it has.
+void notePeerVersion(Node &node, const HostId &host, std::uint64_t version);
+
+/// Tells some hosts of a version that is news.
+void sendHint(Node &node, std::uint64_t version, const std::string &body, Actions &actions);
+
+/// Asks other hosts for their versions, and for changes that this host lacks, when that is due.
+void tickSpread(Node &node, TimePoint now, Actions &actions);
+
+/// Tells where a version is in force.
+SpreadShown showSpread(Node &node, std::uint64_t version, TimePoint now);
 
 // Service levels
 
@@ -147,11 +195,11 @@
 
 // Operators
 
-void onOperatorAsked(Node &node, const OperatorAsked &asked, Actions &actions);
+void onOperatorAsked(Node &node, const OperatorAsked &asked, TimePoint now, Actions &actions);
 
 // Calls to the platform
 
 /// Starts a call and remembers what it is for.
-void callPlatform(Node &node, const Platform::Call &request, PendingCall pending, Actions &actions);
+void callPlatform(Node &node, const Platform::Call &request, const PendingCall &pending, Actions &actions);
 
 }
--- a/include/ragwortrelay/node/action.h
+++ b/include/ragwortrelay/node/action.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <ragwortrelay/configuration/freshness.h>
 #include <ragwortrelay/node/event.h>
 #include <ragwortrelay/reporting/burn.h>
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -97,19 +99,40 @@
     friend bool operator==(const EditRefused &, const EditRefused &) = default;
 };
 
-/// The platform gave no usable answer.
+/// The edit was given up. It may be sent again with the same change id, to any host, and is applied at most once.
 struct EditUnresolved {
     std::string m_reason;
+    bool m_mayBeWritten = true; ///< Otherwise nothing was written.
 
     friend bool operator==(const EditUnresolved &, const EditUnresolved &) = default;
 };
 
+/// Version that is in force on a host of the roster, as far as the answering host knows.
+struct HostVersion {
+    HostId m_host;
+    std::uint64_t m_version = 0; ///< 0 when it was never heard.
+    std::optional<Duration> m_heardAgo; ///< Empty when it was never heard.
+
+    friend bool operator==(const HostVersion &, const HostVersion &) = default;
+};
+
+/// Where a version is in force. It is accepted once it is on more than half of the roster.
+struct SpreadShown {
+    std::uint64_t m_version = 0; ///< That was asked for.
+    bool m_accepted = false;
+    std::vector<HostVersion> m_hosts;
+
+    friend bool operator==(const SpreadShown &, const SpreadShown &) = default;
+};
+
 /// What a host knows of itself.
 struct StatusShown {
     std::string m_host;
     std::uint64_t m_version = 0;
     bool m_ready = false;
     std::uint64_t m_requestsInFlight = 0;
+    Configuration::Freshness m_freshness{}; ///< Of the configuration.
+    std::vector<HostVersion> m_hosts; ///< Versions of the configuration, host by host.
 
     friend bool operator==(const StatusShown &, const StatusShown &) = default;
 };
@@ -128,7 +151,7 @@
     friend bool operator==(const BurnShown &, const BurnShown &) = default;
 };
 
-using OperatorReply = std::variant<TableShown, EditDone, EditConflict, EditRefused, EditUnresolved, StatusShown, MetricsShown, BurnShown>;
+using OperatorReply = std::variant<TableShown, EditDone, EditConflict, EditRefused, EditUnresolved, StatusShown, MetricsShown, BurnShown, SpreadShown>;
 
 /// Answers an operator's command.
 struct AnswerOperator {
--- a/include/ragwortrelay/node/event.h
+++ b/include/ragwortrelay/node/event.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ragwortrelay/configuration/table.h>
+#include <ragwortrelay/configuration/edit.h>
 #include <ragwortrelay/core/identifier.h>
 #include <ragwortrelay/core/time.h>
 #include <ragwortrelay/dispatch/answer.h>
@@ -108,23 +108,14 @@
     friend bool operator==(const ShowTable &, const ShowTable &) = default;
 };
 
-/// Row as an operator wants it, with the version that the edit was based on (0 for a new row).
-struct RowEdit {
-    Configuration::RowKey m_key;
-    std::uint64_t m_baseVersion = 0;
-    Configuration::Cells m_cells;
-    bool m_erase = false;
+using Configuration::EditTable;
+using Configuration::RowEdit;
 
-    friend bool operator==(const RowEdit &, const RowEdit &) = default;
-};
-
-/// Writes rows, all or none.
-struct EditTable {
-    std::string m_changeId;
-    std::string m_author;
-    std::vector<RowEdit> m_rows;
+/// Asks on which hosts a version is in force.
+struct ShowSpread {
+    std::uint64_t m_version = 0;
 
-    friend bool operator==(const EditTable &, const EditTable &) = default;
+    friend bool operator==(const ShowSpread &, const ShowSpread &) = default;
 };
 
 /// Asks what this host knows of itself and of the fleet.
@@ -142,7 +133,7 @@
     friend bool operator==(const ShowBurn &, const ShowBurn &) = default;
 };
 
-using OperatorCommand = std::variant<ShowTable, EditTable, ShowStatus, ShowMetrics, ShowBurn>;
+using OperatorCommand = std::variant<ShowTable, EditTable, ShowStatus, ShowMetrics, ShowBurn, ShowSpread>;
 
 /// An operator's command arrived.
 struct OperatorAsked {
--- a/include/ragwortrelay/node/node.h
+++ b/include/ragwortrelay/node/node.h
@@ -10,6 +10,7 @@
 #include <ragwortrelay/limits/limits.h>
 #include <ragwortrelay/membership/membership.h>
 #include <ragwortrelay/node/action.h>
+#include <ragwortrelay/node/configurationstate.h>
 #include <ragwortrelay/node/event.h>
 #include <ragwortrelay/node/healthstate.h>
 #include <ragwortrelay/node/placement.h>
@@ -35,6 +36,7 @@
     Duration m_balancerLag{std::chrono::seconds(2)}; ///< After failing readiness, until the balancer sends nothing more.
     Duration m_stopLimit{std::chrono::seconds(30)}; ///< Longest wait for requests in flight on stopping.
     std::uint32_t m_attemptsAtMost = 3;
+    ConfigurationSettings m_configuration;
     std::string m_platformIncarnation; ///< How the platform's list names this life of the host, empty for none.
     Limits::LimitsSettings m_limits;
     Duration m_seatHorizon{std::chrono::hours(24)}; ///< See Membership::MembershipSettings::m_horizon.
@@ -77,6 +79,7 @@
     RequestArrived m_request;
     Configuration::Route m_route;
     WorkspaceId m_workspace; ///< Empty on open routes.
+    KeyId m_key; ///< Empty on open routes.
     Limits::AdmissionTry m_admission;
     TimePoint m_deadline;
     AttemptId m_attempt = 0; ///< The one that may answer the caller.
@@ -103,8 +106,18 @@
 /// What a call to the platform was for.
 enum class PlatformPurpose : std::uint8_t {
     PollChanges,
+    ReadChangeObject,
+    ReadSnapshotName,
+    ReadSnapshot,
+    LookUpChange,
+    WriteChangeObject,
+    AppendChanges,
+    WriteSnapshot,
+    CheckSnapshotName,
+    WriteSnapshotName,
+    ReadOldChanges,
+    TrimChanges,
     ListTargets,
-    AppendChange,
     StoreServiceLevels,
     ReadServiceLevels,
     Membership,
@@ -115,8 +128,8 @@
 struct PendingCall {
     PlatformPurpose m_purpose{};
     OperatorCallId m_operatorCall = 0;
-    EditTable m_edit; ///< Of AppendChange.
-    Configuration::Change m_change; ///< Of AppendChange.
+    TimePoint m_startedAt;
+    std::uint64_t m_version = 0; ///< Of the configuration that the call is about.
     Membership::CallKind m_membershipCall{}; ///< Of Membership.
     Dispatch::ClaimCallId m_claimCall = 0; ///< Of Claim.
 };
@@ -179,7 +192,7 @@
     std::map<ExchangeId, Exchange> m_exchanges;
     std::map<AttemptId, Attempt> m_attempts;
     std::map<PlatformCallId, PendingCall> m_calls;
-    std::map<OperatorCallId, EditTable> m_waitingEdits; ///< To be tried again after the next poll.
+    ConfigurationState m_configuration;
     std::set<ExchangeId> m_waitingExchanges; ///< To be advanced with the next tick.
     Membership::MembershipState m_membership;
     Reporting::Counters m_counters;
--- a/include/ragwortrelay/node/peermessage.h
+++ b/include/ragwortrelay/node/peermessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <ragwortrelay/configuration/messages.h>
 #include <ragwortrelay/core/identifier.h>
 #include <ragwortrelay/dispatch/messages.h>
 #include <ragwortrelay/health/messages.h>
@@ -13,8 +14,18 @@
 namespace RagwortRelay::Node {
 
 /// What hosts tell one another. The position of a type is its number on the wire: new ones go to the end.
-using PeerMessage =
-    std::variant<Membership::Heartbeat, Health::EvidenceReport, Health::ServiceVerdicts, Dispatch::CrashReport, Limits::LoanRequest, Limits::LoanAnswer>;
+using PeerMessage = std::variant<Membership::Heartbeat,
+                                 Health::EvidenceReport,
+                                 Health::ServiceVerdicts,
+                                 Dispatch::CrashReport,
+                                 Limits::LoanRequest,
+                                 Limits::LoanAnswer,
+                                 Configuration::Hint,
+                                 Configuration::Ask,
+                                 Configuration::Attest,
+                                 Configuration::Fetch,
+                                 Configuration::RecentChanges,
+                                 Configuration::TablePart>;
 
 /// Messages of one host to another that travel together.
 struct PeerBatch {
--- a/include/ragwortrelay/runtime/operatorcodec.h
+++ b/include/ragwortrelay/runtime/operatorcodec.h
@@ -27,6 +27,15 @@
 /// Writes the body of a request that edits the table. Thread-safe.
 std::string encodeEdit(const Node::EditTable &edit);
 
+/// Reads the answer to a request that shows the table. Thread-safe.
+tl::expected<Configuration::Table, Error> decodeTable(const std::string &body);
+
+/// Reads the answer to a request that edits the table. Thread-safe.
+tl::expected<Node::OperatorReply, Error> decodeEditReply(const OperatorAnswer &answer);
+
+/// Reads the answer to a request that shows where a version is in force. Thread-safe.
+tl::expected<Node::SpreadShown, Error> decodeSpread(const std::string &body);
+
 /// Writes the answer to a command. Thread-safe.
 OperatorAnswer encodeReply(const Node::OperatorReply &reply);
 
--- a/include/ragwortrelay/settings/settings.h
+++ b/include/ragwortrelay/settings/settings.h
@@ -105,6 +105,14 @@
     friend bool operator==(const LogSettings &, const LogSettings &) = default;
 };
 
+/// How this host keeps its configuration up to date.
+struct ConfigurationSettings {
+    Duration m_isolationAfter{std::chrono::seconds(8)}; ///< Without a confirmed version, until the host may be isolated.
+    Duration m_editLimit{std::chrono::seconds(20)}; ///< Longest time that an edit is tried.
+
+    friend bool operator==(const ConfigurationSettings &, const ConfigurationSettings &) = default;
+};
+
 /// All settings of a process.
 struct Settings {
     HostSettings m_host;
@@ -113,6 +121,7 @@
     OperatorSettings m_operators;
     PlatformSettings m_platform;
     PeerSettings m_peers;
+    ConfigurationSettings m_configuration;
     StopSettings m_stop;
     LogSettings m_log;
 
--- a/include/ragwortrelay/workspaces/authentication.h
+++ b/include/ragwortrelay/workspaces/authentication.h
@@ -21,7 +21,13 @@
 /// Returns the lower-case hexadecimal SHA-256 of salt and secret.
 std::string digestOf(const std::string &salt, const std::string &secret);
 
-/// Returns the workspace of a key that is given and not withdrawn. Compares digests in constant time.
+/// Returns the workspace of a key that is given and not withdrawn.
+///
+/// An unknown or withdrawn key takes the same steps as a wrong secret: one digest and one comparison in constant time. So the time
+/// of an answer doesn't tell which key ids exist.
 std::optional<WorkspaceId> authenticate(const Configuration::Catalogue &catalogue, const PresentedKey &key);
 
+/// Tells whether a key that was authenticated before is still given to the workspace. Takes logarithmic time, without a digest.
+bool isValid(const Configuration::Catalogue &catalogue, const KeyId &key, const WorkspaceId &workspace);
+
 }
--- a/src/configuration/catalogue.cpp
+++ b/src/configuration/catalogue.cpp
@@ -1,4 +1,5 @@
 #include <ragwortrelay/configuration/catalogue.h>
+#include <ragwortrelay/core/editdistance.h>
 
 #include <algorithm>
 #include <charconv>
@@ -15,8 +16,9 @@
     {
     }
 
-    [[nodiscard]] std::string text(const std::string &column, const std::string &fallback = {}) const
+    [[nodiscard]] std::string text(const std::string &column, const std::string &fallback = {})
     {
+        m_columns.insert(column);
         const auto cell = m_row.m_cells.find(column);
         return cell == m_row.m_cells.end() || cell->second.empty() ? fallback : cell->second;
     }
@@ -74,6 +76,23 @@
         return m_findings.size() == m_findingsBefore;
     }
 
+    /// Reports every cell that no call has asked for. Call it last. The row stays: hosts of an older release must not lose it.
+    void reportUnknownColumns()
+    {
+        for (const auto &[column, value] : m_row.m_cells) {
+            if (!m_columns.contains(column)) {
+                const std::string place = toString(m_row.m_key.m_kind) + '/' + m_row.m_key.m_name;
+                m_findings.push_back({{place, 0, 0}, ErrorId::TableUnknownColumn, unknownColumn(column, m_columns)});
+            }
+        }
+    }
+
+    /// Returns the columns that were asked for.
+    [[nodiscard]] const std::set<std::string> &columns() const
+    {
+        return m_columns;
+    }
+
     void report(const std::string &column, const std::string &message)
     {
         const std::string place = toString(m_row.m_key.m_kind) + '/' + m_row.m_key.m_name;
@@ -84,6 +103,7 @@
     const Row &m_row;
     Findings &m_findings;
     std::size_t m_findingsBefore;
+    std::set<std::string> m_columns;
 };
 
 void addService(Catalogue &catalogue, const Row &row, CellReader &cells)
@@ -113,6 +133,8 @@
     server.m_slots = static_cast<std::uint32_t>(cells.number("slots", 1.0, 1.0, MostSlots));
     server.m_use = cells.flag("leaving", false) ? ServerUse::Leaving : ServerUse::Active;
     if (cells.isClean()) {
+        std::vector<ServerId> &servers = catalogue.m_serversOf[server.m_service];
+        servers.insert(std::upper_bound(servers.begin(), servers.end(), server.m_id), server.m_id);
         catalogue.m_servers[server.m_id] = server;
     }
 }
@@ -158,9 +180,8 @@
     }
 }
 
-void addRow(Catalogue &catalogue, const Row &row, Findings &findings)
+void addRow(Catalogue &catalogue, const Row &row, CellReader &cells)
 {
-    CellReader cells(row, findings);
     switch (row.m_key.m_kind) {
     case RowKind::Service:
         return addService(catalogue, row, cells);
@@ -175,6 +196,47 @@
     }
 }
 
+bool goesBefore(const Route &left, const Route &right)
+{
+    const std::size_t leftSize = left.m_pathPrefix.size();
+    const std::size_t rightSize = right.m_pathPrefix.size();
+    return leftSize != rightSize ? leftSize > rightSize : left.m_name < right.m_name;
+}
+
+void removeServer(Catalogue &catalogue, const ServerId &id)
+{
+    const auto server = catalogue.m_servers.find(id);
+    if (server == catalogue.m_servers.end()) {
+        return;
+    }
+    const auto servers = catalogue.m_serversOf.find(server->second.m_service);
+    std::erase(servers->second, id);
+    if (servers->second.empty()) {
+        catalogue.m_serversOf.erase(servers);
+    }
+    catalogue.m_servers.erase(server);
+}
+
+void removeRow(Catalogue &catalogue, const RowKey &key)
+{
+    switch (key.m_kind) {
+    case RowKind::Service:
+        catalogue.m_services.erase(ServiceId(key.m_name));
+        return;
+    case RowKind::Server:
+        return removeServer(catalogue, ServerId(key.m_name));
+    case RowKind::Route:
+        std::erase_if(catalogue.m_routes, [&](const Route &route) { return route.m_name == key.m_name; });
+        return;
+    case RowKind::Workspace:
+        catalogue.m_workspaces.erase(WorkspaceId(key.m_name));
+        return;
+    case RowKind::Key:
+        catalogue.m_keys.erase(KeyId(key.m_name));
+        return;
+    }
+}
+
 }
 
 Catalogue buildCatalogue(const Table &table, Findings &findings)
@@ -183,18 +245,48 @@
     catalogue.m_version = table.m_version;
     for (const auto &[key, row] : table.m_rows) {
         if (!row.m_erased) {
-            addRow(catalogue, row, findings);
+            CellReader cells(row, findings);
+            addRow(catalogue, row, cells);
+            cells.reportUnknownColumns();
         }
     }
-    for (const auto &[id, server] : catalogue.m_servers) {
-        catalogue.m_serversOf[server.m_service].push_back(id);
-    }
-    std::stable_sort(catalogue.m_routes.begin(), catalogue.m_routes.end(), [](const Route &left, const Route &right) {
-        return left.m_pathPrefix.size() > right.m_pathPrefix.size();
-    });
+    std::sort(catalogue.m_routes.begin(), catalogue.m_routes.end(), goesBefore);
     return catalogue;
 }
 
+void updateCatalogue(Catalogue &catalogue, const Change &change)
+{
+    Findings findings;
+    const bool hasRoutes = std::any_of(change.m_rows.begin(), change.m_rows.end(), [](const Row &row) { return row.m_key.m_kind == RowKind::Route; });
+    for (const Row &row : change.m_rows) {
+        removeRow(catalogue, row.m_key);
+        if (!row.m_erased) {
+            CellReader cells(row, findings);
+            addRow(catalogue, row, cells);
+        }
+    }
+    if (hasRoutes) {
+        std::sort(catalogue.m_routes.begin(), catalogue.m_routes.end(), goesBefore);
+    }
+    catalogue.m_version = change.m_version;
+}
+
+std::set<std::string> columnsOf(RowKind kind)
+{
+    const Row row{{kind, "name"}, 0, {}, false};
+    Findings findings;
+    Catalogue catalogue;
+    CellReader cells(row, findings);
+    addRow(catalogue, row, cells);
+    return cells.columns();
+}
+
+std::string unknownColumn(const std::string &column, const std::set<std::string> &columns)
+{
+    const std::string nearest = nearestText(column, columns);
+    return "unknown column '" + column + "'" + (nearest.empty() ? "" : "; did you mean '" + nearest + "'?");
+}
+
 const Route *findRoute(const Catalogue &catalogue, const std::string &method, const std::string &path)
 {
     for (const Route &route : catalogue.m_routes) {
--- a/src/node/handle.cpp
+++ b/src/node/handle.cpp
@@ -6,10 +6,10 @@
 
 namespace detail {
 
-void callPlatform(Node &node, const Platform::Call &request, PendingCall pending, Actions &actions)
+void callPlatform(Node &node, const Platform::Call &request, const PendingCall &pending, Actions &actions)
 {
     const PlatformCallId id = ++node.m_lastCall;
-    node.m_calls.emplace(id, std::move(pending));
+    node.m_calls.emplace(id, pending);
     actions.push_back(CallPlatform{id, request});
 }
 
@@ -21,15 +21,24 @@
     if (found == node.m_calls.end()) {
         return;
     }
-    const PendingCall call = std::move(found->second);
+    const PendingCall call = found->second;
     node.m_calls.erase(found);
     switch (call.m_purpose) {
     case PlatformPurpose::PollChanges:
-        return onChangesRead(node, answer.m_result, now, actions);
+    case PlatformPurpose::ReadChangeObject:
+    case PlatformPurpose::ReadSnapshotName:
+    case PlatformPurpose::ReadSnapshot:
+    case PlatformPurpose::LookUpChange:
+    case PlatformPurpose::WriteChangeObject:
+    case PlatformPurpose::AppendChanges:
+    case PlatformPurpose::WriteSnapshot:
+    case PlatformPurpose::CheckSnapshotName:
+    case PlatformPurpose::WriteSnapshotName:
+    case PlatformPurpose::ReadOldChanges:
+    case PlatformPurpose::TrimChanges:
+        return onConfigurationAnswered(node, call, answer.m_result, now, actions);
     case PlatformPurpose::ListTargets:
         return onTargetsListed(node, answer.m_result);
-    case PlatformPurpose::AppendChange:
-        return onChangeAppended(node, call, answer.m_result, now, actions);
     case PlatformPurpose::StoreServiceLevels:
         return onServiceLevelsStored(node, answer.m_result);
     case PlatformPurpose::ReadServiceLevels:
@@ -82,7 +91,7 @@
 
 void onTicked(Node &node, TimePoint now, Actions &actions)
 {
-    pollConfiguration(node, now, actions);
+    tickConfiguration(node, now, actions);
     tickMembership(node, now, actions);
     tickHealth(node, now, actions);
     tickLimits(node, now, actions);
@@ -90,7 +99,7 @@
     tickClaims(node, now, actions);
     tickSuspects(node, now);
     advanceWaiting(node, now, actions);
-    setReadiness(node, node.m_polledAt.has_value() && node.m_table.m_version > 0 && !node.m_stopAskedAt, actions);
+    setReadiness(node, mayServeWorkspaces(node, now) && node.m_table.m_version > 0 && !node.m_stopAskedAt, actions);
     stopWhenIdle(node, now, actions);
 }
 
@@ -133,7 +142,7 @@
             } else if constexpr (std::is_same_v<Type, PeerSpoke>) {
                 detail::onPeerSpoke(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, OperatorAsked>) {
-                detail::onOperatorAsked(node, typed, actions);
+                detail::onOperatorAsked(node, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, StopAsked>) {
                 detail::onStopAsked(node, now, actions);
             } else {
--- a/src/node/membershipduty.cpp
+++ b/src/node/membershipduty.cpp
@@ -12,7 +12,7 @@
         PendingCall pending;
         pending.m_purpose = PlatformPurpose::Membership;
         pending.m_membershipCall = call.m_kind;
-        callPlatform(node, call.m_call, std::move(pending), actions);
+        callPlatform(node, call.m_call, pending, actions);
     }
     for (const Membership::Outgoing &outgoing : effects.m_heartbeats) {
         actions.push_back(SendPeer{outgoing.m_host, outgoing.m_address, outgoing.m_heartbeat});
@@ -58,6 +58,7 @@
             }
         },
         spoke.m_message);
+    onConfigurationSpoke(node, spoke, now, actions);
 }
 
 void onHeartbeat(Node &node, const PeerSpoke &spoke, const Membership::Heartbeat &heartbeat, TimePoint now)
--- a/src/node/requests.cpp
+++ b/src/node/requests.cpp
@@ -145,6 +145,10 @@
         progress = Progress::Ended;
     }
     while (progress == Progress::Continue && exchange.m_stage != Stage::Run) {
+        progress = checkWorkspace(node, id, exchange, now, actions);
+        if (progress != Progress::Continue) {
+            break;
+        }
         switch (exchange.m_stage) {
         case Stage::Admit:
             progress = admitExchange(node, id, exchange, now, actions);
@@ -205,6 +209,7 @@
             return refuse(node, id, {HttpUnauthorized, ErrorId::RequestUnauthenticated, Outcome::NotRun, "no valid workspace key", {}}, actions);
         }
         exchange.m_workspace = *workspace;
+        exchange.m_key = key->m_id;
     }
     if (!route->m_idempotent && request.m_idempotencyKey.empty()) {
         return refuse(
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -28,6 +28,8 @@
     node.m_peerAddress = listener.advertisedAddress();
     node.m_seedAddresses = settings.m_peers.m_seeds;
     node.m_pollInterval = settings.m_platform.m_pollInterval;
+    node.m_configuration.m_isolationAfter = settings.m_configuration.m_isolationAfter;
+    node.m_configuration.m_editLimit = settings.m_configuration.m_editLimit;
     node.m_balancerLag = settings.m_stop.m_balancerLag;
     node.m_stopLimit = settings.m_stop.m_limit;
     return node;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -52,6 +52,20 @@
     return settings;
 }
 
+/// @param pollInterval a host that polls less often than three times before it may be isolated would be so without need
+ConfigurationSettings readConfiguration(YamlReader reader, Duration pollInterval)
+{
+    constexpr int PollsBeforeIsolation = 3;
+    ConfigurationSettings settings;
+    settings.m_isolationAfter = reader.duration("isolation-after", settings.m_isolationAfter, seconds(1), minutes(5));
+    settings.m_editLimit = reader.duration("edit-limit", settings.m_editLimit, seconds(1), minutes(5));
+    if (settings.m_isolationAfter < PollsBeforeIsolation * pollInterval) {
+        reader.reportAt("isolation-after", ErrorId::SettingsCrossReference, "must be at least three times 'platform.poll-interval'");
+    }
+    reader.reportUnknownKeys();
+    return settings;
+}
+
 StopSettings readStop(YamlReader reader)
 {
     StopSettings settings;
@@ -78,6 +92,7 @@
         settings.m_operators = readOperators(root.section("operators", Presence::Required));
         settings.m_platform = readPlatform(root.section("platform", Presence::Required));
         settings.m_peers = detail::readPeers(root.section("peers", Presence::Required), now);
+        settings.m_configuration = readConfiguration(root.section("configuration", Presence::Optional), settings.m_platform.m_pollInterval);
         settings.m_stop = readStop(root.section("stop", Presence::Optional));
         settings.m_log = detail::readLog(root.section("log", Presence::Optional));
         root.reportUnknownKeys();
--- a/src/workspaces/authentication.cpp
+++ b/src/workspaces/authentication.cpp
@@ -36,16 +36,21 @@
 
 std::optional<WorkspaceId> authenticate(const Configuration::Catalogue &catalogue, const PresentedKey &key)
 {
-    const auto stored = catalogue.m_keys.find(key.m_id);
-    if (stored == catalogue.m_keys.end() || stored->second.m_withdrawn) {
+    static const Configuration::Key absent{KeyId(), WorkspaceId(), std::string(48, '0'), std::string(64, '0'), true};
+    const auto found = catalogue.m_keys.find(key.m_id);
+    const Configuration::Key &stored = found == catalogue.m_keys.end() ? absent : found->second;
+    const std::string digest = digestOf(stored.m_salt, key.m_secret);
+    const bool matches = digest.size() == stored.m_digest.size() && CRYPTO_memcmp(digest.data(), stored.m_digest.data(), digest.size()) == 0;
+    if (!matches || stored.m_withdrawn) {
         return std::nullopt;
     }
-    const std::string digest = digestOf(stored->second.m_salt, key.m_secret);
-    const std::string &expected = stored->second.m_digest;
-    if (digest.size() != expected.size() || CRYPTO_memcmp(digest.data(), expected.data(), digest.size()) != 0) {
-        return std::nullopt;
-    }
-    return stored->second.m_workspace;
+    return stored.m_workspace;
+}
+
+bool isValid(const Configuration::Catalogue &catalogue, const KeyId &key, const WorkspaceId &workspace)
+{
+    const auto found = catalogue.m_keys.find(key);
+    return found != catalogue.m_keys.end() && !found->second.m_withdrawn && found->second.m_workspace == workspace;
 }
 
 }
--- a/tests/fakes/fakefleet.h
+++ b/tests/fakes/fakefleet.h
@@ -222,8 +222,16 @@
             deliverLater(host, CallTimeout, Node::PlatformAnswered{call.m_call, Platform::Unavailable{"down"}});
             return;
         }
-        at(m_network.m_platformDelay, [this, host, call, life = m_lives[host]] {
+        const bool inTime = 2 * m_network.m_platformDelay < CallTimeout;
+        if (!inTime) {
+            // The caller gives up; the call takes effect later nevertheless.
+            deliverLater(host, CallTimeout, Node::PlatformAnswered{call.m_call, Platform::Unavailable{"timeout"}});
+        }
+        at(m_network.m_platformDelay, [this, host, call, inTime, life = m_lives[host]] {
             Platform::Result result = apply(m_platform, call.m_request);
+            if (!inTime) {
+                return;
+            }
             if (m_platformMode == PlatformMode::LosesAnswers) {
                 result = Platform::Unavailable{"answer lost"};
             }
@@ -235,8 +243,11 @@
         });
     }
 
-    void sendPeer(const HostId &from, const Node::SendPeer &send)
+    void sendPeer(const HostId &from, Node::SendPeer send)
     {
+        if (send.m_host.isEmpty()) {
+            send.m_host = HostId(send.m_address);
+        }
         ++m_peerMessages;
         m_onSend(from, send);
         const Membership::Incarnation incarnation = m_nodes.at(from).m_settings.m_incarnation;
