--- a/benchmarks/measurecapacity.cpp
+++ b/benchmarks/measurecapacity.cpp
@@ -65,7 +65,7 @@
         add(RowKind::Workspace, name, {{"rate", i % 10 == 0 ? "400" : "40"}, {"burst", i % 10 == 0 ? "800" : "80"}});
         add(RowKind::Key, "key-" + std::to_string(i), {{"workspace", name}, {"salt", "s"}, {"digest", Workspaces::digestOf("s", "secret")}});
     }
-    const auto transaction = Configuration::appendTransaction(change);
+    const auto transaction = Configuration::appendTransaction({{change, Configuration::encodeChange(change)}});
     Fakes::apply(fleet.m_platform, transaction);
 }
 
--- a/src/node/claims.cpp
+++ b/src/node/claims.cpp
@@ -12,7 +12,7 @@
         PendingCall pending;
         pending.m_purpose = PlatformPurpose::Claim;
         pending.m_claimCall = call.m_call;
-        callPlatform(node, call.m_request, std::move(pending), actions);
+        callPlatform(node, call.m_request, pending, actions);
     }
     for (Dispatch::ClaimVerdict &verdict : output.m_verdicts) {
         node.m_claimVerdicts.push_back(std::move(verdict));
