Join the duties by rings with a lock instead of a lock-free queue

Cause: the thread sanitizer reports a race in Boost's lock-free queue: its free list reads a node that another thread has taken and reuses. The queue's tags make that harmless, but a check that must be ignored hides real races. A ring carries some thousand elements a second, so a lock costs nothing that counts.

Before: ragwortrelay_test_runtime under the thread sanitizer: 1 report.

Conclusion: the ring is bounded as before and needs no allocation an element.

--- a/include/ragwortrelay/runtime/ring.h
+++ b/include/ragwortrelay/runtime/ring.h
@@ -1,13 +1,14 @@
 #pragma once
 
-#include <boost/lockfree/queue.hpp>
+#include <boost/circular_buffer.hpp>
 
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <limits>
-#include <memory>
+#include <mutex>
+#include <optional>
 #include <utility>
 
 namespace RagwortRelay::Runtime {
@@ -16,29 +17,25 @@
 template<typename Element> class Ring
 {
 public:
-    /// @param capacity at most 65534
     /// @param wake called after each push, on the thread that pushes
     Ring(std::size_t capacity, std::function<void()> wake) : m_queue(capacity), m_wake(std::move(wake))
     {
     }
 
-    ~Ring()
-    {
-        drain([](Element &&) {});
-    }
-
     Ring(const Ring &) = delete;
     Ring &operator=(const Ring &) = delete;
 
     /// Adds an element unless the ring is full; returns whether it did. Thread-safe.
     bool push(Element element)
     {
-        auto owned = std::make_unique<Element>(std::move(element));
-        if (!m_queue.bounded_push(owned.get())) {
-            m_refused.fetch_add(1, std::memory_order_relaxed);
-            return false;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_queue.full()) {
+                m_refused.fetch_add(1, std::memory_order_relaxed);
+                return false;
+            }
+            m_queue.push_back(std::move(element));
         }
-        static_cast<void>(owned.release());
         m_wake();
         return true;
     }
@@ -47,11 +44,13 @@
     /// Precondition: only one thread drains at a time.
     template<typename Consumer> std::size_t drain(Consumer consumer, std::size_t most = std::numeric_limits<std::size_t>::max())
     {
-        Element *raw = nullptr;
         std::size_t count = 0;
-        while (count < most && m_queue.pop(raw)) {
-            const std::unique_ptr<Element> owned(raw);
-            consumer(std::move(*owned));
+        while (count < most) {
+            std::optional<Element> element = pop();
+            if (!element) {
+                break;
+            }
+            consumer(std::move(*element));
             ++count;
         }
         return count;
@@ -64,7 +63,19 @@
     }
 
 private:
-    boost::lockfree::queue<Element *, boost::lockfree::fixed_sized<true>> m_queue;
+    std::optional<Element> pop()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_queue.empty()) {
+            return std::nullopt;
+        }
+        std::optional<Element> element(std::move(m_queue.front()));
+        m_queue.pop_front();
+        return element;
+    }
+
+    std::mutex m_mutex;
+    boost::circular_buffer_space_optimized<Element> m_queue;
     std::function<void()> m_wake;
     std::atomic<std::uint64_t> m_refused{0};
 };
