Sum the shares of loans by one function

Cause: holding.cpp had the same loop twice, for loans given and loans taken.

Before: two functions. After: one; ragwortrelay_test_limits passes with 24 assertions at 1,000 cases a property, formatter and linter are clean. Behaviour is the same.

--- a/src/limits/holding.cpp
+++ b/src/limits/holding.cpp
@@ -6,22 +6,13 @@
 
 namespace {
 
-Share lentShare(const Holding &holding)
+/// Returns the sum of the shares of all loans, given or taken.
+template<typename Loans> Share sumOf(const Loans &loans)
 {
     Share total;
-    for (const auto &[key, lent] : holding.m_lent) {
-        total.m_rate += lent.m_share.m_rate;
-        total.m_burst += lent.m_share.m_burst;
-    }
-    return total;
-}
-
-Share borrowedShare(const Holding &holding)
-{
-    Share total;
-    for (const auto &[loan, borrowed] : holding.m_borrowed) {
-        total.m_rate += borrowed.m_share.m_rate;
-        total.m_burst += borrowed.m_share.m_burst;
+    for (const auto &[key, loan] : loans) {
+        total.m_rate += loan.m_share.m_rate;
+        total.m_burst += loan.m_share.m_burst;
     }
     return total;
 }
@@ -34,8 +25,8 @@
 /// Makes the bucket follow the shares; tokens above its burst are lost.
 void updateBucket(Holding &holding)
 {
-    const Share lent = lentShare(holding);
-    const Share borrowed = borrowedShare(holding);
+    const Share lent = sumOf(holding.m_lent);
+    const Share borrowed = sumOf(holding.m_borrowed);
     TokenBucket &bucket = holding.m_bucket;
     bucket.m_share.m_rate = difference(holding.m_own.m_rate + borrowed.m_rate, lent.m_rate);
     bucket.m_share.m_burst = difference(holding.m_own.m_burst + borrowed.m_burst, lent.m_burst);
@@ -91,7 +82,7 @@
 
 Share freeShare(const Holding &holding)
 {
-    const Share lent = lentShare(holding);
+    const Share lent = sumOf(holding.m_lent);
     return {difference(holding.m_own.m_rate, lent.m_rate), difference(holding.m_own.m_burst, lent.m_burst)};
 }
 
