--- /dev/null
+++ b/include/ragwortrelay/detail/loop/problem.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <ragwortrelay/dispatch/outcome.h>
+#include <ragwortrelay/http/dialect.h>
+#include <ragwortrelay/http/message.h>
+
+#include <string>
+
+namespace RagwortRelay::Loop::detail {
+
+/// Returns the body of a refusal, as `application/problem+json`. Thread-safe.
+/// Source: RFC 9457.
+std::string problemBody(const Dispatch::Problem &problem);
+
+/// Returns the headers of a refusal. Thread-safe.
+Http::Headers problemHeaders(const Http::Dialect &dialect, const Dispatch::Problem &problem);
+
+}
--- a/include/ragwortrelay/detail/settings/yamlreader.h
+++ b/include/ragwortrelay/detail/settings/yamlreader.h
@@ -46,6 +46,9 @@
     /// Returns a whole number within [least, most].
     [[nodiscard]] std::uint64_t count(const std::string &key, std::uint64_t fallback, std::uint64_t least, std::uint64_t most);
 
+    /// Returns a number within [least, most], which may have a fraction.
+    [[nodiscard]] double fraction(const std::string &key, double fallback, double least, double most);
+
     /// Tells whether a key has a value.
     [[nodiscard]] bool has(const std::string &key) const;
 
--- a/include/ragwortrelay/dispatch/outcome.h
+++ b/include/ragwortrelay/dispatch/outcome.h
@@ -29,6 +29,7 @@
 
 /// How an attempt at a backend server failed.
 enum class AttemptFailure : std::uint8_t {
+    ConnectRefused, ///< Nobody listens at the address.
     ConnectFailed,
     TimedOut,
     Broken, ///< The connection ended before any answer.
--- /dev/null
+++ b/include/ragwortrelay/health/suspicion.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/core/time.h>
+
+#include <map>
+
+/// How much speaks for a backend server being sick, from the outcomes of real requests.
+namespace RagwortRelay::Health {
+
+/// Weights of evidence, as logarithms of odds.
+struct SuspicionSettings {
+    double m_prior = -3.2; ///< Log odds that a server of which nothing is known is sick.
+    double m_failure = 3.7; ///< One failed request.
+    double m_success = -0.9; ///< One request that succeeded.
+    double m_most = 6.0; ///< Evidence above this is forgotten, so that a server that is well again is soon trusted.
+    double m_otherDomains = 0.6; ///< Weight of what other failure domains than the asking one saw.
+    Duration m_fading{std::chrono::milliseconds(2500)}; ///< Evidence loses all but 1/e of its weight in this time.
+
+    friend bool operator==(const SuspicionSettings &, const SuspicionSettings &) = default;
+};
+
+/// Evidence that fades. Between 0 for none and SuspicionSettings::m_most.
+struct Suspicion {
+    double m_value = 0.0;
+    TimePoint m_updatedAt{};
+
+    friend bool operator==(const Suspicion &, const Suspicion &) = default;
+};
+
+/// What speaks against one server.
+struct ServerSuspicion {
+    std::map<FailureDomainId, Suspicion> m_byDomain; ///< By the failure domain of the host that saw it.
+    std::map<HostId, Suspicion> m_byHost; ///< About the path from one host to the server.
+
+    friend bool operator==(const ServerSuspicion &, const ServerSuspicion &) = default;
+};
+
+/// Returns what is left of a suspicion. Thread-safe, like all functions that change nothing.
+double valueAt(const SuspicionSettings &settings, const Suspicion &suspicion, TimePoint now);
+
+/// Adds evidence; negative speaks for the server. Not thread-safe on one suspicion.
+void addEvidence(const SuspicionSettings &settings, Suspicion &suspicion, double evidence, TimePoint now);
+
+/// Returns the probability that the server is sick for requests of the host.
+double sicknessFor(const SuspicionSettings &settings, const ServerSuspicion &server, const HostId &host, const FailureDomainId &domain, TimePoint now);
+
+}
--- /dev/null
+++ b/include/ragwortrelay/host/event.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/dispatch/outcome.h>
+#include <ragwortrelay/http/dialect.h>
+#include <ragwortrelay/store/store.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace RagwortRelay::Host {
+
+/// Number of a caller's request on this host; never used again by the process.
+using ExchangeId = std::uint64_t;
+
+/// Number of an attempt at a backend server on this host; never used again by the process.
+using AttemptId = std::uint64_t;
+
+/// Number of a call to the store on this host.
+using StoreCallId = std::uint64_t;
+
+/// A caller's request is there, with its whole body.
+struct RequestArrived {
+    ExchangeId m_exchange = 0;
+    std::string m_method;
+    Http::RequestFacts m_facts;
+    std::uint64_t m_bodyDigest = 0; ///< Hash of the body.
+
+    friend bool operator==(const RequestArrived &, const RequestArrived &) = default;
+};
+
+/// The caller closed its connection before its answer was complete.
+struct CallerGone {
+    ExchangeId m_exchange = 0;
+
+    friend bool operator==(const CallerGone &, const CallerGone &) = default;
+};
+
+/// A backend server answered; either the whole answer is there or its first part fills the buffer.
+struct AttemptAnswered {
+    AttemptId m_attempt = 0;
+    std::uint16_t m_status = 0;
+    Http::AnswerFacts m_facts;
+    bool m_whole = false;
+
+    friend bool operator==(const AttemptAnswered &, const AttemptAnswered &) = default;
+};
+
+/// An attempt failed before it was answered.
+struct AttemptFailed {
+    AttemptId m_attempt = 0;
+    Dispatch::AttemptFailure m_failure{};
+    bool m_sent = true; ///< At least one byte of the request may have been sent.
+
+    friend bool operator==(const AttemptFailed &, const AttemptFailed &) = default;
+};
+
+/// The rest of a long answer has come to its end, or was cut short.
+struct AttemptEnded {
+    AttemptId m_attempt = 0;
+    bool m_whole = true;
+    bool m_isAbandoned = false; ///< The caller left; the server isn't to blame.
+
+    friend bool operator==(const AttemptEnded &, const AttemptEnded &) = default;
+};
+
+/// A backend server announced that it closes its connections.
+struct ServerCloses {
+    ServerId m_server;
+
+    friend bool operator==(const ServerCloses &, const ServerCloses &) = default;
+};
+
+/// The store answered a call.
+struct StoreAnswered {
+    StoreCallId m_call = 0;
+    Store::Result m_result;
+
+    friend bool operator==(const StoreAnswered &, const StoreAnswered &) = default;
+};
+
+/// The process was told to stop.
+struct StopAsked {
+    friend bool operator==(const StopAsked &, const StopAsked &) = default;
+};
+
+/// Time went on.
+struct Ticked {
+    friend bool operator==(const Ticked &, const Ticked &) = default;
+};
+
+using Event = std::variant<RequestArrived, CallerGone, AttemptAnswered, AttemptFailed, AttemptEnded, ServerCloses, StoreAnswered, StopAsked, Ticked>;
+
+}
--- /dev/null
+++ b/include/ragwortrelay/limits/pool.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <ragwortrelay/core/time.h>
+
+#include <optional>
+
+namespace RagwortRelay::Limits {
+
+/// Tokens of one workspace's limit that one host hands out. Several pools of one workspace share its limit: their shares add up to
+/// one at most.
+struct Pool {
+    double m_rate = 0.0; ///< Tokens a second, of the whole limit.
+    double m_burst = 0.0; ///< Tokens, of the whole limit.
+    double m_share = 0.0; ///< Part of the limit that this pool has, 0 to 1.
+    double m_tokens = 0.0; ///< In hand.
+    TimePoint m_refilledAt;
+
+    friend bool operator==(const Pool &, const Pool &) = default;
+};
+
+/// Adds what accrued. Not thread-safe on one pool, like all functions that change it.
+void refill(Pool &pool, TimePoint now);
+
+/// Sets the limit. Tokens above the new burst are lost; what is added to the burst comes empty.
+void setLimit(Pool &pool, double rate, double burst, TimePoint now);
+
+/// Sets the share. Tokens above the share of the burst are lost; what is added comes empty.
+void setShare(Pool &pool, double share, TimePoint now);
+
+/// Takes one token if there is one; returns whether it did.
+bool takeToken(Pool &pool, TimePoint now);
+
+/// Returns how long until a token is there; zero if one is there, nothing if there will be none. Precondition: refilled at `now`.
+std::optional<Duration> waitForToken(const Pool &pool);
+
+}
--- /dev/null
+++ b/include/ragwortrelay/loop/callerfront.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <ragwortrelay/configuration/catalogue.h>
+#include <ragwortrelay/dispatch/outcome.h>
+#include <ragwortrelay/host/event.h>
+#include <ragwortrelay/http/dialect.h>
+#include <ragwortrelay/loop/answerstream.h>
+#include <ragwortrelay/loop/asio.h>
+#include <ragwortrelay/loop/backendpool.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace RagwortRelay::Loop {
+
+class CallerConnection;
+
+/// How callers are served.
+struct CallerFrontSettings {
+    std::string m_listen; ///< `IP:PORT`; port 0 lets the kernel choose.
+    Configuration::CallerLimits m_limits;
+    Duration m_bodyTimeout{std::chrono::seconds(30)}; ///< From the end of the head to the end of the body.
+    Duration m_answerTimeout{std::chrono::minutes(2)}; ///< From the start of an answer until the caller has read all of it.
+    std::size_t m_connectionsAtMost = 2000;
+    std::uint64_t m_heldBytesAtMost = 64U << 20U; ///< Of all bodies that are being read.
+    Vigilance m_vigilance{5000, 5, 1, 3};
+};
+
+/// Serves callers over HTTP. Used by one thread.
+class CallerFront
+{
+public:
+    using EventHandler = std::function<void(const Host::Event &)>;
+
+    CallerFront(asio::io_context &context, const CallerFrontSettings &settings, const Http::Dialect &dialect, EventHandler handler);
+    ~CallerFront();
+    CallerFront(const CallerFront &) = delete;
+    CallerFront &operator=(const CallerFront &) = delete;
+
+    /// Opens the port. Throws boost::system::system_error when it can't be had. Call once.
+    void start();
+
+    /// Returns a request that waits for its answer, or nullptr.
+    [[nodiscard]] const CallerRequest *requestOf(Host::ExchangeId exchange) const;
+
+    /// Sends an answer. An exchange that is gone changes nothing.
+    void answer(Host::ExchangeId exchange, const std::shared_ptr<AnswerStream> &stream);
+
+    /// Sends a refusal. An exchange that is gone changes nothing.
+    void refuse(Host::ExchangeId exchange, const Dispatch::Problem &problem);
+
+    /// Bounds what callers may send from now on.
+    void setLimits(const Configuration::CallerLimits &limits);
+
+    /// From now on each answer closes its connection; idle connections are closed now.
+    void sendAway();
+
+    /// Takes no more connections.
+    void stopListening();
+
+    /// Returns the address that it listens on. Precondition: started.
+    [[nodiscard]] std::string address() const;
+
+    /// Returns how many answers are still being written.
+    [[nodiscard]] std::size_t unwritten() const;
+
+private:
+    friend class CallerConnection;
+
+    void accept();
+    void retryAccept();
+
+    asio::io_context &m_context;
+    CallerFrontSettings m_settings;
+    Http::Dialect m_dialect;
+    EventHandler m_handler;
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_acceptTimer;
+    std::map<CallerConnection *, std::weak_ptr<CallerConnection>> m_connections;
+    std::unordered_map<Host::ExchangeId, CallerConnection *> m_exchanges;
+    std::uint64_t m_heldBytes = 0;
+    Host::ExchangeId m_lastExchange = 0;
+    std::size_t m_unwritten = 0;
+    bool m_sendsAway = false;
+};
+
+}
--- /dev/null
+++ b/include/ragwortrelay/loop/relay.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <ragwortrelay/host/source.h>
+#include <ragwortrelay/host/state.h>
+#include <ragwortrelay/http/dialect.h>
+#include <ragwortrelay/loop/backendpool.h>
+#include <ragwortrelay/loop/callerfront.h>
+#include <ragwortrelay/loop/log.h>
+#include <ragwortrelay/loop/storeclient.h>
+
+#include <memory>
+#include <string>
+
+namespace RagwortRelay::Loop {
+
+/// Where the balancer asks for readiness, and the metrics are read.
+struct StatusFrontSettings {
+    std::string m_readinessListen; ///< `IP:PORT`
+    std::string m_readinessPath;
+    std::string m_metricsListen; ///< `IP:PORT`; empty for none.
+    std::string m_metricsPath;
+};
+
+/// All that a host needs to run.
+struct RelaySettings {
+    Host::HostSettings m_host;
+    CallerFrontSettings m_callers;
+    BackendSettings m_backends;
+    StoreClientSettings m_store;
+    StatusFrontSettings m_status;
+};
+
+/// What the host speaks with its surroundings.
+struct Surroundings {
+    Host::Source m_source;
+    Http::Dialect m_dialect;
+    StoreFormat m_storeFormat;
+};
+
+/// One host: owns its state, and all connections, on the thread that calls run().
+class Relay
+{
+public:
+    /// @param log must outlive the relay
+    Relay(const RelaySettings &settings, const Surroundings &surroundings, LogDuty &log);
+    ~Relay();
+    Relay(const Relay &) = delete;
+    Relay &operator=(const Relay &) = delete;
+
+    /// Opens the ports and serves until the host has stopped gracefully. Throws boost::system::system_error when a port can't be had.
+    void run();
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+}
--- /dev/null
+++ b/include/ragwortrelay/loop/storeclient.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <ragwortrelay/core/time.h>
+#include <ragwortrelay/host/event.h>
+#include <ragwortrelay/loop/asio.h>
+#include <ragwortrelay/loop/clientconnection.h>
+#include <ragwortrelay/store/store.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace RagwortRelay::Loop {
+
+/// HTTP form of a call to the store.
+struct StoreRequest {
+    std::string m_method;
+    std::string m_target;
+    std::string m_body; ///< Empty for none.
+
+    friend bool operator==(const StoreRequest &, const StoreRequest &) = default;
+};
+
+/// How calls to the store look on the wire.
+struct StoreFormat {
+    StoreRequest (*m_encode)(const Store::Call &call) = nullptr;
+    Store::Result (*m_decode)(const Store::Call &call, std::uint16_t status, const std::string &body) = nullptr;
+};
+
+/// How the store is reached.
+struct StoreClientSettings {
+    std::string m_address; ///< `IP:PORT`
+    Duration m_connectTimeout{std::chrono::milliseconds(500)};
+    Duration m_timeout{std::chrono::milliseconds(1500)}; ///< Of an answer, beside the time that the call itself asks the store to wait.
+    Vigilance m_vigilance{1500, 1, 1, 2};
+};
+
+/// Calls the store over HTTP. Used by one thread.
+class StoreClient
+{
+public:
+    using EventHandler = std::function<void(const Host::Event &)>;
+
+    StoreClient(asio::io_context &context, const StoreClientSettings &settings, const StoreFormat &format, EventHandler handler);
+
+    /// Starts a call; its answer comes as an event, always.
+    void call(Host::StoreCallId id, const Store::Call &call);
+
+private:
+    struct Pending {
+        Store::Call m_call;
+        std::shared_ptr<ClientConnection> m_connection;
+        std::unique_ptr<asio::steady_timer> m_timer;
+    };
+
+    [[nodiscard]] std::shared_ptr<ClientConnection> takeIdle();
+    void onAnswer(Host::StoreCallId id, AnswerEvent event);
+    void onTimeout(Host::StoreCallId id);
+    void finish(Host::StoreCallId id, const Store::Result &result);
+    void keep(const std::shared_ptr<ClientConnection> &connection);
+
+    asio::io_context &m_context;
+    StoreClientSettings m_settings;
+    StoreFormat m_format;
+    EventHandler m_handler;
+    std::map<Host::StoreCallId, Pending> m_pending;
+    std::vector<std::shared_ptr<ClientConnection>> m_idle;
+};
+
+}
--- /dev/null
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <ragwortrelay/configuration/catalogue.h>
+#include <ragwortrelay/core/random.h>
+#include <ragwortrelay/core/time.h>
+#include <ragwortrelay/dispatch/suspects.h>
+#include <ragwortrelay/limits/pool.h>
+#include <ragwortrelay/scheduling/draw.h>
+#include <ragwortrelay/scheduling/retrybudget.h>
+#include <ragwortrelay/scheduling/serverbook.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+/// Decides when and where each attempt runs: limits of workspaces, retry budgets, slots of servers, queues.
+namespace RagwortRelay::Scheduling {
+
+/// How a scheduler works.
+struct SchedulerSettings {
+    PickSettings m_pick;
+    RetryLimit m_retries;
+    std::size_t m_queueAtMost = 512; ///< Draws that wait for one service.
+    Duration m_tokenWait{std::chrono::milliseconds(40)}; ///< A request whose token comes so soon waits for it.
+    Duration m_overdueInterval{std::chrono::milliseconds(100)}; ///< Between two looks at requests that run for long.
+
+    friend bool operator==(const SchedulerSettings &, const SchedulerSettings &) = default;
+};
+
+/// A draw that waits for a slot.
+struct QueuedDraw {
+    Draw m_draw;
+    Asker m_asker;
+    TimePoint m_arrivedAt;
+    TimePoint m_answerBy; ///< It can't be answered in time when it starts so late that it ends after this.
+    TimePoint m_objectiveAt;
+};
+
+/// Draws that wait for one service.
+struct DrawQueue {
+    std::deque<QueuedDraw> m_draws; ///< By priority, those of one priority in the order of their arrival.
+};
+
+/// A draw that was answered with a server and runs.
+struct GrantedDraw {
+    ServerId m_server;
+    ServiceId m_service;
+    TimePoint m_at;
+};
+
+/// State of a scheduler: of the whole fleet on the host that leads, of one host's requests on a host that has no lead.
+struct Scheduler {
+    SchedulerSettings m_settings;
+    ServerBook m_book;
+    std::map<WorkspaceId, Limits::Pool> m_pools;
+    std::map<ServiceId, RetryBudget> m_budgets;
+    std::map<ServiceId, DrawQueue> m_queues;
+    std::map<DrawId, GrantedDraw> m_granted;
+    std::map<HostId, FailureDomainId> m_domains; ///< Of the hosts that have asked.
+    double m_share = 1.0; ///< Part of each limit and budget that this scheduler hands out.
+    TimePoint m_overdueAt{}; ///< Last look at requests that run for long.
+    TimePoint m_servedAt{}; ///< Last time that the queues were served.
+};
+
+/// Takes over the limits of a catalogue. Not thread-safe on one scheduler, like all functions that change it.
+void setLimits(Scheduler &scheduler, const Configuration::Catalogue &catalogue, TimePoint now);
+
+/// Sets the part of each limit and budget that this scheduler hands out, 0 to 1.
+void setShare(Scheduler &scheduler, double share, TimePoint now);
+
+/// An answer to a draw of a host.
+struct Answered {
+    HostId m_host;
+    DrawAnswer m_answer;
+
+    friend bool operator==(const Answered &, const Answered &) = default;
+};
+
+/// Takes a draw: answers it, or queues it.
+/// @return the answer, or nothing for a draw that waits
+std::optional<DrawAnswer> draw(Scheduler &scheduler, const Draw &draw, const Asker &asker, RandomGenerator &random, TimePoint now);
+
+/// Forgets a draw that waits, or one that was granted and not used.
+void withdraw(Scheduler &scheduler, const DrawId &id);
+
+/// Takes in that the attempt of a draw has ended.
+void finish(Scheduler &scheduler, const DrawDone &done, const Asker &asker, TimePoint now);
+
+/// Answers draws that wait and can be answered now.
+std::vector<Answered> serve(Scheduler &scheduler, RandomGenerator &random, TimePoint now);
+
+/// Returns when serve() has to be called at the latest.
+TimePoint nextServeAt(const Scheduler &scheduler);
+
+}
--- /dev/null
+++ b/include/ragwortrelay/scheduling/serverbook.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <ragwortrelay/configuration/catalogue.h>
+#include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/core/random.h>
+#include <ragwortrelay/core/time.h>
+#include <ragwortrelay/health/suspicion.h>
+#include <ragwortrelay/scheduling/draw.h>
+
+#include <tl/expected.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace RagwortRelay::Scheduling {
+
+/// How servers are weighed against one another. Costs are parts of the worth of one request.
+struct PickSettings {
+    Health::SuspicionSettings m_suspicion;
+    double m_failureCost = 1.0; ///< Of a request that fails for good.
+    double m_retryCost = 0.25; ///< Of one that fails and can be sent again.
+    double m_occupiedCost = 0.04; ///< Of sharing a server with as many requests as it has slots.
+    double m_otherDomainCost = 0.02; ///< Of leaving the failure domain.
+    double m_connectionCost = 0.02; ///< Of a new connection.
+    double m_warmupCost = 0.05; ///< Of a server that is slow after its start.
+    double m_slownessCost = 0.15; ///< For each time that a server is slower than its service.
+    double m_avoidAbove = 0.3; ///< Probability of sickness from which a server gets no more than single trials.
+    double m_floor = 0.7; ///< Share of the usable servers that is never avoided.
+    Duration m_trialInterval{std::chrono::milliseconds(700)}; ///< Between two trial requests at an avoided server.
+    Duration m_shedHold{std::chrono::milliseconds(60)}; ///< A server that shed counts as full for so long.
+    Duration m_drainHold{std::chrono::seconds(20)}; ///< A server that said it is leaving gets nothing for so long, unless it starts anew.
+    std::size_t m_candidatesAtMost = 48; ///< Servers that are looked at for one pick.
+
+    friend bool operator==(const PickSettings &, const PickSettings &) = default;
+};
+
+/// A request that runs at a server, as the scheduler knows it.
+struct RunningDraw {
+    DrawId m_id;
+    TimePoint m_startedAt;
+    bool m_isOverdue = false; ///< Was counted as evidence against the server.
+
+    friend bool operator==(const RunningDraw &, const RunningDraw &) = default;
+};
+
+/// One backend server in use.
+struct ServerState {
+    Configuration::Server m_server;
+    std::vector<RunningDraw> m_running;
+    Health::ServerSuspicion m_suspicion;
+    double m_slowness = 1.0; ///< Time of its answers against the usual time of the service, as a moving average.
+    std::optional<TimePoint> m_fullUntil; ///< Set when it shed a request.
+    std::optional<TimePoint> m_leavingUntil; ///< Set when it said that it is leaving.
+    TimePoint m_warmAt; ///< End of its slow start.
+    TimePoint m_triedAt{}; ///< Last start of a request while it was avoided.
+};
+
+/// The servers of one service.
+struct ServiceState {
+    std::vector<ServerId> m_servers; ///< In the order of their names.
+    Duration m_usualTime{std::chrono::milliseconds(150)}; ///< Of an answer, as a moving average.
+};
+
+/// All backend servers, with what is known of their use and health.
+struct ServerBook {
+    std::map<ServerId, ServerState> m_servers;
+    std::map<ServiceId, ServiceState> m_services;
+};
+
+/// Brings the book in line with the directory. A server with another service, address or incarnation is another server.
+/// @return servers of which earlier connections must not be used any more
+/// Not thread-safe on one book, like all functions that change it.
+std::vector<ServerId> setServers(ServerBook &book, const Configuration::ServerDirectory &directory, TimePoint now);
+
+/// Why pickServer() returned none.
+enum class PickFailure : std::uint8_t {
+    NoServer, ///< None may be picked.
+    AllBusy, ///< Each that may be picked has no free slot.
+};
+
+/// Who asks for a server.
+struct Asker {
+    HostId m_host;
+    FailureDomainId m_domain;
+
+    friend bool operator==(const Asker &, const Asker &) = default;
+};
+
+/// Picks the server with the least cost among those with a free slot. Linear in the candidates.
+tl::expected<ServerId, PickFailure>
+pickServer(const ServerBook &book, const PickSettings &settings, const Draw &draw, const Asker &asker, RandomGenerator &random, TimePoint now);
+
+/// Counts a request that starts on the server. Precondition: the server is in the book.
+void startDraw(ServerBook &book, const PickSettings &settings, const DrawId &id, const ServerId &server, const Asker &asker, TimePoint now);
+
+/// Takes in how a request ended. A server that isn't in the book changes nothing.
+void endDraw(ServerBook &book, const PickSettings &settings, const DrawDone &done, const Asker &asker, TimePoint now);
+
+/// Forgets the requests of a host that run, but for those that it names.
+void reconcile(ServerBook &book, const HostId &host, const std::vector<std::uint64_t> &running, TimePoint startedBefore);
+
+/// Counts requests that run for much longer than is usual as evidence against their servers. Linear in the requests that run.
+void noteOverdue(ServerBook &book, const PickSettings &settings, const std::map<HostId, FailureDomainId> &domains, TimePoint now);
+
+/// Returns how many slots the usable servers of a service have. Linear in its servers.
+std::uint32_t slotsOf(const ServerBook &book, const ServiceId &service, TimePoint now);
+
+}
--- /dev/null
+++ b/src/cli/relaycommand.cpp
@@ -0,0 +1,85 @@
+#include <ragwortrelay/detail/cli/commandgroups.h>
+#include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/loop/relay.h>
+#include <ragwortrelay/settings/relaysettings.h>
+
+#include <platform/surroundings.h>
+
+#include <tclap/CmdLine.h>
+
+namespace RagwortRelay::Cli::detail {
+
+namespace {
+
+/// Kept from the time within which a withdrawn key must stop working, for requests that are on their way to a server.
+constexpr Duration RevocationMargin = std::chrono::milliseconds(300);
+
+Reporting::Severity severityFrom(const std::string &level)
+{
+    if (level == "error") {
+        return Reporting::Severity::Error;
+    }
+    if (level == "warning") {
+        return Reporting::Severity::Warning;
+    }
+    return level == "debug" ? Reporting::Severity::Debug : Reporting::Severity::Info;
+}
+
+Host::HostSettings hostSettingsFrom(const Settings::RelaySettings &settings)
+{
+    Host::HostSettings host;
+    host.m_host = settings.m_host.m_name;
+    host.m_domain = settings.m_host.m_domain;
+    host.m_keyFreshness = settings.m_configuration.m_revocationLimit - RevocationMargin;
+    host.m_balancerLag = settings.m_stop.m_balancerLag;
+    host.m_stopLimit = settings.m_stop.m_limit;
+    host.m_scheduling.m_retries.m_ratio = settings.m_retries.m_ratio;
+    host.m_scheduling.m_retries.m_reserve = static_cast<double>(settings.m_retries.m_reserve);
+    host.m_scheduling.m_pick.m_floor = settings.m_floor;
+    return host;
+}
+
+Loop::RelaySettings relaySettingsFrom(const Settings::RelaySettings &settings)
+{
+    Loop::RelaySettings relay;
+    relay.m_host = hostSettingsFrom(settings);
+    relay.m_callers.m_listen = settings.m_callers.m_listen;
+    relay.m_callers.m_limits = {
+        settings.m_callers.m_headerLimit, settings.m_callers.m_bodyLimit, settings.m_callers.m_headerTimeout, settings.m_callers.m_idleTimeout};
+    relay.m_callers.m_bodyTimeout = settings.m_callers.m_bodyTimeout;
+    relay.m_callers.m_answerTimeout = settings.m_callers.m_answerTimeout;
+    relay.m_callers.m_connectionsAtMost = settings.m_callers.m_connectionLimit;
+    relay.m_backends.m_connectTimeout = settings.m_backends.m_connectTimeout;
+    relay.m_store.m_address = settings.m_store.m_address;
+    relay.m_store.m_connectTimeout = settings.m_store.m_connectTimeout;
+    relay.m_store.m_timeout = settings.m_store.m_timeout;
+    relay.m_status = {settings.m_readiness.m_listen, settings.m_readiness.m_path, settings.m_metrics.m_listen, settings.m_metrics.m_path};
+    return relay;
+}
+
+ExitCode relay(Arguments arguments)
+{
+    TCLAP::CmdLine commandLine("Runs a host on the users' platform", ' ', Version);
+    TCLAP::ValueArg<std::string> file("", "settings", "Settings file", true, "", "FILE", commandLine);
+    commandLine.parse(arguments);
+    const auto settings = Settings::loadRelaySettings(file.getValue());
+    if (!settings) {
+        printFindings(settings.error());
+        return ExitCode::WrongUsage;
+    }
+    Loop::LogDuty log(settings->m_host.m_name.text(), severityFrom(settings->m_log.m_level));
+    log.start();
+    Loop::Relay relay(relaySettingsFrom(*settings), Platform::platformSurroundings(), log);
+    relay.run();
+    log.stop();
+    return ExitCode::Done;
+}
+
+}
+
+void addRelayCommands(Commands &commands)
+{
+    commands["relay"] = relay;
+}
+
+}
--- a/src/configuration/catalogue.cpp
+++ b/src/configuration/catalogue.cpp
@@ -2,7 +2,9 @@
 #include <ragwortrelay/core/editdistance.h>
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
+#include <string_view>
 
 namespace RagwortRelay::Configuration {
 
@@ -146,6 +148,8 @@
     route.m_method = cells.text("method");
     route.m_pathPrefix = cells.required("path");
     route.m_service = ServiceId(cells.required("service"));
+    route.m_shares = {{route.m_service, 1.0}};
+    route.m_host = cells.text("host");
     route.m_idempotent = cells.flag("idempotent", true);
     route.m_open = cells.flag("open", false);
     route.m_deadline = cells.milliseconds("deadline_ms", route.m_deadline);
@@ -196,6 +200,32 @@
     }
 }
 
+/// Source: RFC 3986, section 2.3.
+bool isUnreserved(unsigned byte)
+{
+    const auto character = static_cast<char>(byte);
+    return byte < 0x80 && (std::isalnum(static_cast<int>(byte)) != 0 || std::string_view("-._~").find(character) != std::string_view::npos);
+}
+
+/// Decodes the escapes of characters that need none, so that no spelling of a path gets around a route.
+std::string withoutNeedlessEscapes(const std::string &path)
+{
+    constexpr int HexadecimalBase = 16;
+    std::string plain;
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        unsigned byte = 0;
+        const char *digits = path.data() + i + 1;
+        const bool isEscape = path[i] == '%' && i + 2 < path.size() && std::from_chars(digits, digits + 2, byte, HexadecimalBase).ptr == digits + 2;
+        if (isEscape && isUnreserved(byte)) {
+            plain += static_cast<char>(byte);
+            i += 2;
+        } else {
+            plain += path[i];
+        }
+    }
+    return plain;
+}
+
 bool goesBefore(const Route &left, const Route &right)
 {
     const std::size_t leftSize = left.m_pathPrefix.size();
@@ -250,7 +280,7 @@
             cells.reportUnknownColumns();
         }
     }
-    std::sort(catalogue.m_routes.begin(), catalogue.m_routes.end(), goesBefore);
+    sortRoutes(catalogue.m_routes);
     return catalogue;
 }
 
@@ -266,11 +296,16 @@
         }
     }
     if (hasRoutes) {
-        std::sort(catalogue.m_routes.begin(), catalogue.m_routes.end(), goesBefore);
+        sortRoutes(catalogue.m_routes);
     }
     catalogue.m_version = change.m_version;
 }
 
+void sortRoutes(std::vector<Route> &routes)
+{
+    std::sort(routes.begin(), routes.end(), goesBefore);
+}
+
 std::set<std::string> columnsOf(RowKind kind)
 {
     const Row row{{kind, "name"}, 0, {}, false};
@@ -287,6 +322,19 @@
     return "unknown column '" + column + "'" + (nearest.empty() ? "" : "; did you mean '" + nearest + "'?");
 }
 
+const Route *findRoute(const Catalogue &catalogue, const std::string &host, const std::string &method, const std::string &path)
+{
+    const std::string plain = withoutNeedlessEscapes(path);
+    for (const Route &route : catalogue.m_routes) {
+        const bool hostMatches = route.m_host.empty() || route.m_host == host;
+        const bool methodMatches = route.m_method.empty() || route.m_method == method;
+        if (hostMatches && methodMatches && plain.starts_with(route.m_pathPrefix)) {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
 const Route *findRoute(const Catalogue &catalogue, const std::string &method, const std::string &path)
 {
     for (const Route &route : catalogue.m_routes) {
--- a/src/dispatch/outcome.cpp
+++ b/src/dispatch/outcome.cpp
@@ -10,6 +10,8 @@
 std::string toString(AttemptFailure failure)
 {
     switch (failure) {
+    case AttemptFailure::ConnectRefused:
+        return "connect-refused";
     case AttemptFailure::ConnectFailed:
         return "connect-failed";
     case AttemptFailure::TimedOut:
--- /dev/null
+++ b/src/health/suspicion.cpp
@@ -0,0 +1,36 @@
+#include <ragwortrelay/health/suspicion.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace RagwortRelay::Health {
+
+double valueAt(const SuspicionSettings &settings, const Suspicion &suspicion, TimePoint now)
+{
+    if (suspicion.m_value <= 0.0) {
+        return 0.0;
+    }
+    const double age = static_cast<double>((now - suspicion.m_updatedAt).count());
+    return suspicion.m_value * std::exp(-age / static_cast<double>(settings.m_fading.count()));
+}
+
+void addEvidence(const SuspicionSettings &settings, Suspicion &suspicion, double evidence, TimePoint now)
+{
+    suspicion.m_value = std::clamp(valueAt(settings, suspicion, now) + evidence, 0.0, settings.m_most);
+    suspicion.m_updatedAt = now;
+}
+
+double sicknessFor(const SuspicionSettings &settings, const ServerSuspicion &server, const HostId &host, const FailureDomainId &domain, TimePoint now)
+{
+    double logOdds = settings.m_prior;
+    for (const auto &[seenFrom, suspicion] : server.m_byDomain) {
+        logOdds += valueAt(settings, suspicion, now) * (seenFrom == domain ? 1.0 : settings.m_otherDomains);
+    }
+    const auto path = server.m_byHost.find(host);
+    if (path != server.m_byHost.end()) {
+        logOdds += valueAt(settings, path->second, now);
+    }
+    return 1.0 / (1.0 + std::exp(-logOdds));
+}
+
+}
--- /dev/null
+++ b/src/host/attempts.cpp
@@ -0,0 +1,375 @@
+#include <ragwortrelay/detail/host/duties.h>
+#include <ragwortrelay/workspaces/authentication.h>
+
+#include <algorithm>
+
+namespace RagwortRelay::Host::detail {
+
+namespace {
+
+using Dispatch::AttemptFailure;
+using Dispatch::Outcome;
+using Dispatch::Problem;
+using Reporting::LogLine;
+using Scheduling::AttemptEnd;
+using Scheduling::Draw;
+using Scheduling::DrawAnswer;
+using Scheduling::DrawPurpose;
+using Scheduling::RefusalReason;
+
+constexpr std::uint16_t HttpUnauthorized = 401;
+constexpr std::uint16_t HttpMisdirected = 421;
+constexpr std::uint16_t HttpTooManyRequests = 429;
+constexpr std::uint16_t HttpInternalError = 500;
+constexpr std::uint16_t HttpBadGateway = 502;
+constexpr std::uint16_t HttpServiceUnavailable = 503;
+constexpr std::uint16_t HttpGatewayTimeout = 504;
+
+Scheduling::Asker selfOf(const State &state)
+{
+    return {state.m_settings.m_host, state.m_settings.m_domain};
+}
+
+Draw drawFor(State &state, const Exchange &exchange, DrawPurpose purpose, TimePoint now)
+{
+    const auto workspace = exchange.m_catalogue->m_workspaces.find(exchange.m_workspace);
+    const bool hasPriority = workspace != exchange.m_catalogue->m_workspaces.end() && workspace->second.m_priority;
+    Draw draw;
+    draw.m_number = ++state.m_lastDraw;
+    draw.m_purpose = purpose;
+    draw.m_service = exchange.m_service;
+    draw.m_workspace = exchange.m_workspace;
+    draw.m_fingerprint = exchange.m_fingerprint;
+    draw.m_priority = hasPriority ? *workspace->second.m_priority : exchange.m_route.m_priority;
+    draw.m_idempotent = exchange.m_route.m_idempotent;
+    draw.m_timeLeft = exchange.m_deadline - now;
+    draw.m_objectiveLeft = exchange.m_arrivedAt + exchange.m_route.m_latencyObjective - now;
+    draw.m_excluded = exchange.m_tried;
+    return draw;
+}
+
+Problem problemOf(const DrawAnswer &refusal)
+{
+    switch (refusal.m_reason) {
+    case RefusalReason::OverLimit:
+        return {HttpTooManyRequests, ErrorId::RequestOverLimit, Outcome::NotRun, "the workspace is over its rate", refusal.m_retryAfter};
+    case RefusalReason::NoBudget:
+        return {HttpServiceUnavailable, ErrorId::RequestOverload, Outcome::NotRun, "the service has no retries left", refusal.m_retryAfter};
+    case RefusalReason::NoServer:
+        return {HttpServiceUnavailable, ErrorId::RequestNoServer, Outcome::NotRun, "no backend server can take the request", refusal.m_retryAfter};
+    case RefusalReason::Overload:
+        return {HttpServiceUnavailable, ErrorId::RequestOverload, Outcome::NotRun, "no backend server has a free slot in time", refusal.m_retryAfter};
+    case RefusalReason::Quarantined:
+        return {HttpServiceUnavailable, ErrorId::RequestQuarantined, Outcome::NotRun, "the request has crashed backend servers", refusal.m_retryAfter};
+    }
+    return {};
+}
+
+AttemptEnd endOf(const AttemptAnswered &answer)
+{
+    if (answer.m_facts.m_notRun) {
+        return answer.m_status == HttpMisdirected ? AttemptEnd::Misdirected : AttemptEnd::Shed;
+    }
+    return answer.m_status >= HttpInternalError ? AttemptEnd::Failed : AttemptEnd::Succeeded;
+}
+
+AttemptEnd endOf(const AttemptFailed &failure)
+{
+    switch (failure.m_failure) {
+    case AttemptFailure::ConnectRefused:
+        return AttemptEnd::NotListening;
+    case AttemptFailure::ConnectFailed:
+        return AttemptEnd::Unreachable;
+    case AttemptFailure::TimedOut:
+        return AttemptEnd::TimedOut;
+    case AttemptFailure::Broken:
+        return AttemptEnd::Broken;
+    case AttemptFailure::CutShort:
+    case AttemptFailure::Malformed:
+        return AttemptEnd::Garbled;
+    case AttemptFailure::Cancelled:
+        return AttemptEnd::Abandoned;
+    }
+    return AttemptEnd::Abandoned;
+}
+
+/// Tells whether one more server may be tried.
+bool mayTryAnother(const Exchange &exchange, const HostSettings &settings, TimePoint now)
+{
+    return exchange.m_sent < exchange.m_route.m_attemptsAtMost && exchange.m_unsent < settings.m_unsentAtMost && now < exchange.m_deadline;
+}
+
+void logAttemptEnd(const State &state, const Attempt &attempt, AttemptEnd end, TimePoint now, Actions &actions)
+{
+    const auto exchange = state.m_exchanges.find(attempt.m_exchange);
+    log(actions,
+        LogLine("attempt-ended")
+            .with("request", exchange == state.m_exchanges.end() ? "" : exchange->second.m_request.m_facts.m_attemptId)
+            .with("server", attempt.m_server.text())
+            .with("end", Scheduling::toString(end))
+            .with("elapsed_us", (now - attempt.m_startedAt).count()));
+}
+
+/// Gives the caller an answer and forgets the request; other attempts of it end.
+void forward(State &state, ExchangeId id, AttemptId attempt, TimePoint now, Actions &actions)
+{
+    Exchange &exchange = state.m_exchanges.at(id);
+    exchange.m_running.erase(attempt);
+    if (exchange.m_failedAnswer == attempt) {
+        exchange.m_failedAnswer.reset();
+    }
+    Reporting::count(state.m_counters, "requests_answered");
+    log(actions,
+        LogLine("request-answered")
+            .with("request", exchange.m_request.m_facts.m_attemptId)
+            .with("route", exchange.m_route.m_name)
+            .with("service", exchange.m_service.text())
+            .with("attempts", exchange.m_sent)
+            .with("elapsed_us", (now - exchange.m_arrivedAt).count()));
+    actions.emplace_back(ForwardAnswer{id, attempt});
+    endExchange(state, id, now, actions);
+}
+
+/// Ends a request that no server can be found for: by the failure that a server answered, or by a refusal.
+void giveUp(State &state, ExchangeId id, const Problem &problem, TimePoint now, Actions &actions)
+{
+    const Exchange &exchange = state.m_exchanges.at(id);
+    if (!exchange.m_running.empty()) {
+        return; // Another attempt may still be answered.
+    }
+    if (exchange.m_failedAnswer) {
+        return forward(state, id, *exchange.m_failedAnswer, now, actions);
+    }
+    refuse(state, id, problem, now, actions);
+}
+
+/// Tells why an attempt must not start: the configuration has changed or grown old while the request waited.
+std::optional<Problem> checkBeforeStart(const State &state, const Exchange &exchange, TimePoint now)
+{
+    if (exchange.m_route.m_open) {
+        return std::nullopt;
+    }
+    if (!mayServeWorkspaces(state, now)) {
+        return Problem{HttpServiceUnavailable, ErrorId::RequestHostIsolated, Outcome::NotRun, "the host's configuration is too old", {}};
+    }
+    if (!Workspaces::isValid(*state.m_catalogue, exchange.m_key, exchange.m_workspace)) {
+        return Problem{HttpUnauthorized, ErrorId::RequestUnauthenticated, Outcome::NotRun, "the workspace key was withdrawn", {}};
+    }
+    return std::nullopt;
+}
+
+/// Makes a second attempt due for an idempotent request whose first one is slow.
+void planHedge(State &state, ExchangeId id, Exchange &exchange, TimePoint now)
+{
+    constexpr int SlowFactor = 2; // Times the usual time of the service.
+    const auto service = state.m_scheduler.m_book.m_services.find(exchange.m_service);
+    const bool isWanted = exchange.m_route.m_idempotent && !exchange.m_hasHedged && exchange.m_sent + 1 < exchange.m_route.m_attemptsAtMost;
+    if (isWanted && service != state.m_scheduler.m_book.m_services.end()) {
+        state.m_due.emplace(now + SlowFactor * service->second.m_usualTime, Due{DueKind::Hedge, id});
+    }
+}
+
+void startAttempt(State &state, ExchangeId id, const DrawAnswer &granted, TimePoint now, Actions &actions)
+{
+    Exchange &exchange = state.m_exchanges.at(id);
+    const ServerId &server = *granted.m_server;
+    const auto known = state.m_scheduler.m_book.m_servers.find(server);
+    const auto refused = known == state.m_scheduler.m_book.m_servers.end()
+        ? Problem{HttpServiceUnavailable, ErrorId::RequestNoServer, Outcome::NotRun, "the backend server is gone", {}}
+        : checkBeforeStart(state, exchange, now);
+    if (refused) {
+        Scheduling::finish(state.m_scheduler, {granted.m_number, server, AttemptEnd::Abandoned, {}, 0, 0, false}, selfOf(state), now);
+        return giveUp(state, id, *refused, now, actions);
+    }
+    const AttemptId attempt = ++state.m_lastAttempt;
+    state.m_attempts.emplace(attempt, Attempt{id, granted.m_number, server, now, false});
+    exchange.m_running.insert(attempt);
+    exchange.m_tried.push_back(server);
+    planHedge(state, id, exchange, now);
+    ++exchange.m_sent;
+    log(actions,
+        LogLine("attempt-started")
+            .with("request", exchange.m_request.m_facts.m_attemptId)
+            .with("server", server.text())
+            .with("service", exchange.m_service.text())
+            .with("workspace", exchange.m_workspace.text())
+            .with("attempt", exchange.m_sent)
+            .with("time_left_us", (exchange.m_deadline - now).count())
+            .with("configuration_version", static_cast<std::int64_t>(state.m_catalogue->m_version)));
+    const ConnectionUse use = exchange.m_route.m_idempotent ? ConnectionUse::Any : ConnectionUse::Fresh;
+    actions.emplace_back(StartAttempt{id, attempt, server, known->second.m_server.m_address, exchange.m_workspace, use, exchange.m_deadline - now});
+}
+
+/// Tries another server, or gives up.
+void tryAnother(State &state, ExchangeId id, DrawPurpose purpose, const Problem &problem, TimePoint now, Actions &actions)
+{
+    if (mayTryAnother(state.m_exchanges.at(id), state.m_settings, now)) {
+        return drawServer(state, id, purpose, now, actions);
+    }
+    giveUp(state, id, problem, now, actions);
+}
+
+Problem problemOf(const AttemptFailed &failure, bool mayHaveRun)
+{
+    Problem problem;
+    problem.m_outcome = mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    problem.m_id = mayHaveRun ? ErrorId::RequestOutcomeUnknown : ErrorId::RequestUpstreamFailed;
+    const bool timedOut = failure.m_failure == AttemptFailure::TimedOut;
+    problem.m_status = mayHaveRun ? (timedOut ? HttpGatewayTimeout : HttpBadGateway) : HttpServiceUnavailable;
+    problem.m_detail = "the backend server failed: " + Dispatch::toString(failure.m_failure);
+    return problem;
+}
+
+}
+
+std::optional<Attempt> finishAttempt(State &state, AttemptId id, AttemptEnd end, const std::optional<Http::LoadReport> &load, TimePoint now)
+{
+    const auto found = state.m_attempts.find(id);
+    if (found == state.m_attempts.end()) {
+        return std::nullopt;
+    }
+    const Attempt attempt = found->second;
+    state.m_attempts.erase(found);
+    Scheduling::DrawDone done;
+    done.m_number = attempt.m_draw;
+    done.m_server = attempt.m_server;
+    done.m_end = end;
+    done.m_elapsed = now - attempt.m_startedAt;
+    if (load) {
+        done.m_running = load->m_running;
+        done.m_waiting = load->m_waiting;
+        done.m_hasLoad = true;
+    }
+    Scheduling::finish(state.m_scheduler, done, selfOf(state), now);
+    Reporting::count(state.m_counters, "attempts{end=\"" + Scheduling::toString(end) + "\"}");
+    return attempt;
+}
+
+void drawServer(State &state, ExchangeId id, DrawPurpose purpose, TimePoint now, Actions &actions)
+{
+    Exchange &exchange = state.m_exchanges.at(id);
+    const Draw draw = drawFor(state, exchange, purpose, now);
+    exchange.m_draw = draw.m_number;
+    state.m_draws.emplace(draw.m_number, PendingDraw{id});
+    const auto answer = Scheduling::draw(state.m_scheduler, draw, selfOf(state), state.m_random, now);
+    if (answer) {
+        onDrawAnswered(state, *answer, now, actions);
+    }
+}
+
+void onDrawAnswered(State &state, const DrawAnswer &answer, TimePoint now, Actions &actions)
+{
+    const auto pending = state.m_draws.find(answer.m_number);
+    if (pending == state.m_draws.end()) {
+        return;
+    }
+    const ExchangeId id = pending->second.m_exchange;
+    state.m_draws.erase(pending);
+    state.m_exchanges.at(id).m_draw.reset();
+    if (answer.m_server) {
+        return startAttempt(state, id, answer, now, actions);
+    }
+    giveUp(state, id, problemOf(answer), now, actions);
+}
+
+void onAttemptAnswered(State &state, const AttemptAnswered &answer, TimePoint now, Actions &actions)
+{
+    const auto running = state.m_attempts.find(answer.m_attempt);
+    if (running == state.m_attempts.end()) {
+        return;
+    }
+    const AttemptEnd end = endOf(answer);
+    logAttemptEnd(state, running->second, end, now, actions);
+    const ExchangeId id = running->second.m_exchange;
+    const ServerId server = running->second.m_server;
+    if (answer.m_facts.m_load && answer.m_facts.m_load->m_draining) {
+        onServerCloses(state, {server}, now);
+    }
+    if (answer.m_whole || end != AttemptEnd::Succeeded) {
+        finishAttempt(state, answer.m_attempt, end, answer.m_facts.m_load, now);
+    } else {
+        running->second.m_isForwarded = true;
+        running->second.m_exchange = 0;
+    }
+    const auto found = state.m_exchanges.find(id);
+    if (found == state.m_exchanges.end()) {
+        actions.emplace_back(CancelAttempt{answer.m_attempt, true});
+        return;
+    }
+    Exchange &exchange = found->second;
+    exchange.m_running.erase(answer.m_attempt);
+    if (answer.m_facts.m_notRun) {
+        actions.emplace_back(CancelAttempt{answer.m_attempt, true});
+        const Problem problem{HttpServiceUnavailable, ErrorId::RequestOverload, Outcome::NotRun, "the backend servers are overloaded", {}};
+        return tryAnother(state, id, DrawPurpose::Again, problem, now, actions);
+    }
+    exchange.m_mayHaveRun = true;
+    const bool wantsBetter = end == AttemptEnd::Failed && exchange.m_route.m_idempotent && !exchange.m_failedAnswer && answer.m_whole;
+    if (wantsBetter && (mayTryAnother(exchange, state.m_settings, now) || !exchange.m_running.empty())) {
+        exchange.m_failedAnswer = answer.m_attempt;
+        return exchange.m_running.empty() ? drawServer(state, id, DrawPurpose::Again, now, actions) : void();
+    }
+    forward(state, id, answer.m_attempt, now, actions);
+}
+
+void onAttemptFailed(State &state, const AttemptFailed &failure, TimePoint now, Actions &actions)
+{
+    const AttemptEnd end = endOf(failure);
+    const auto running = state.m_attempts.find(failure.m_attempt);
+    if (running == state.m_attempts.end()) {
+        return;
+    }
+    logAttemptEnd(state, running->second, end, now, actions);
+    const auto attempt = finishAttempt(state, failure.m_attempt, end, {}, now);
+    const auto found = state.m_exchanges.find(attempt->m_exchange);
+    if (found == state.m_exchanges.end()) {
+        return;
+    }
+    Exchange &exchange = found->second;
+    exchange.m_running.erase(failure.m_attempt);
+    if (!failure.m_sent) {
+        --exchange.m_sent;
+        ++exchange.m_unsent;
+        return tryAnother(state, attempt->m_exchange, DrawPurpose::Instead, problemOf(failure, exchange.m_mayHaveRun), now, actions);
+    }
+    exchange.m_mayHaveRun = true;
+    const Problem problem = problemOf(failure, true);
+    if (!exchange.m_route.m_idempotent) {
+        return giveUp(state, attempt->m_exchange, problem, now, actions);
+    }
+    tryAnother(state, attempt->m_exchange, DrawPurpose::Again, problem, now, actions);
+}
+
+void onAttemptEnded(State &state, const AttemptEnded &ended, TimePoint now, Actions &actions)
+{
+    const AttemptEnd failure = ended.m_isAbandoned ? AttemptEnd::Abandoned : AttemptEnd::Garbled;
+    const AttemptEnd end = ended.m_whole ? AttemptEnd::Succeeded : failure;
+    const auto attempt = finishAttempt(state, ended.m_attempt, end, {}, now);
+    if (attempt) {
+        logAttemptEnd(state, *attempt, end, now, actions);
+    }
+}
+
+void onServerCloses(State &state, const ServerCloses &closes, TimePoint now)
+{
+    const auto server = state.m_scheduler.m_book.m_servers.find(closes.m_server);
+    if (server != state.m_scheduler.m_book.m_servers.end()) {
+        server->second.m_leavingUntil = now + state.m_settings.m_scheduling.m_pick.m_drainHold;
+    }
+}
+
+void onHedgeDue(State &state, ExchangeId id, TimePoint now, Actions &actions)
+{
+    const auto found = state.m_exchanges.find(id);
+    if (found == state.m_exchanges.end()) {
+        return;
+    }
+    Exchange &exchange = found->second;
+    const bool isWanted = !exchange.m_hasHedged && exchange.m_running.size() == 1 && !exchange.m_draw && mayTryAnother(exchange, state.m_settings, now);
+    if (isWanted) {
+        exchange.m_hasHedged = true;
+        drawServer(state, id, DrawPurpose::Hedge, now, actions);
+    }
+}
+
+}
--- /dev/null
+++ b/src/host/requests.cpp
@@ -0,0 +1,215 @@
+#include <ragwortrelay/core/hash.h>
+#include <ragwortrelay/detail/host/duties.h>
+#include <ragwortrelay/workspaces/authentication.h>
+
+#include <algorithm>
+
+namespace RagwortRelay::Host::detail {
+
+namespace {
+
+using Dispatch::Outcome;
+using Dispatch::Problem;
+using Reporting::LogLine;
+
+constexpr std::uint16_t HttpUnauthorized = 401;
+constexpr std::uint16_t HttpNotFound = 404;
+constexpr std::uint16_t HttpServiceUnavailable = 503;
+constexpr std::uint16_t HttpGatewayTimeout = 504;
+constexpr std::uint16_t HttpBadGateway = 502;
+
+/// When a caller may try a host again that doesn't know the configuration well enough.
+constexpr Duration StaleRetryAfter = std::chrono::milliseconds(200);
+
+Problem unfit(const std::string &detail)
+{
+    return {HttpServiceUnavailable, ErrorId::RequestHostIsolated, Outcome::NotRun, detail, StaleRetryAfter};
+}
+
+/// Chooses among the services of a route by their weights.
+ServiceId chooseService(const Configuration::Route &route, RandomGenerator &random)
+{
+    double total = 0.0;
+    for (const Configuration::ServiceShare &share : route.m_shares) {
+        total += share.m_weight;
+    }
+    double drawn = drawUnit(random) * total;
+    for (const Configuration::ServiceShare &share : route.m_shares) {
+        drawn -= share.m_weight;
+        if (drawn < 0.0) {
+            return share.m_service;
+        }
+    }
+    return route.m_shares.back().m_service;
+}
+
+/// Hash of what makes two requests the same, whoever sends them again and through whichever host.
+std::uint64_t fingerprintOf(const RequestArrived &request, const WorkspaceId &workspace)
+{
+    constexpr char Separator = '\n';
+    const std::string identity = request.m_method + Separator + request.m_facts.m_host + Separator + request.m_facts.m_path + Separator + workspace.text();
+    return hashOf(identity, request.m_bodyDigest);
+}
+
+/// A look-up that found nothing only tells something on a host whose configuration is recent.
+bool mayDeny(const State &state, TimePoint now)
+{
+    const auto age = configurationAge(state, now);
+    return age && *age <= state.m_settings.m_refusalFreshness;
+}
+
+/// Fills in who the request runs for.
+/// @return the refusal, or nothing
+std::optional<Problem> authenticate(const State &state, Exchange &exchange, const std::optional<Workspaces::PresentedKey> &key, TimePoint now)
+{
+    if (exchange.m_route.m_open) {
+        return std::nullopt;
+    }
+    if (!mayServeWorkspaces(state, now)) {
+        return unfit("the host's configuration is too old to tell which keys are valid");
+    }
+    const auto workspace = key ? Workspaces::authenticate(*exchange.m_catalogue, *key) : std::nullopt;
+    if (workspace) {
+        exchange.m_workspace = *workspace;
+        exchange.m_key = key->m_id;
+        return std::nullopt;
+    }
+    if (key && !mayDeny(state, now)) {
+        return unfit("the host's configuration is too old to tell that the key isn't valid");
+    }
+    return Problem{HttpUnauthorized, ErrorId::RequestUnauthenticated, Outcome::NotRun, "no valid workspace key", {}};
+}
+
+/// Makes the exchange of a request, or tells why it is refused.
+tl::expected<Exchange, Problem> admit(State &state, const RequestArrived &request, TimePoint now)
+{
+    if (!state.m_catalogue) {
+        return tl::unexpected(unfit("the host has no configuration yet"));
+    }
+    const Configuration::Route *route = Configuration::findRoute(*state.m_catalogue, request.m_facts.m_host, request.m_method, request.m_facts.m_path);
+    if (route == nullptr) {
+        return tl::unexpected(mayDeny(state, now) ? Problem{HttpNotFound, ErrorId::RequestNoRoute, Outcome::NotRun, "no route for this request", {}}
+                                                  : unfit("the host's configuration is too old to tell that there is no route"));
+    }
+    Exchange exchange;
+    exchange.m_request = request;
+    exchange.m_catalogue = state.m_catalogue;
+    exchange.m_route = *route;
+    exchange.m_arrivedAt = now;
+    exchange.m_deadline = now + std::min(route->m_deadline, request.m_facts.m_timeLeft.value_or(route->m_deadline));
+    const auto key = request.m_facts.m_key.empty() ? std::nullopt : state.m_source.m_readKey(request.m_facts.m_key);
+    if (const auto refused = authenticate(state, exchange, key, now)) {
+        return tl::unexpected(*refused);
+    }
+    exchange.m_service = chooseService(*route, state.m_random);
+    exchange.m_fingerprint = fingerprintOf(request, exchange.m_workspace);
+    return exchange;
+}
+
+void logRefusal(const State &state, const std::string &request, const Problem &problem, TimePoint now, Actions &actions)
+{
+    const auto age = configurationAge(state, now);
+    log(actions,
+        LogLine("request-refused")
+            .with("request", request)
+            .with("status", problem.m_status)
+            .with("error", toString(problem.m_id))
+            .with("outcome", Dispatch::toString(problem.m_outcome))
+            .with("detail", problem.m_detail)
+            .with("configuration_version", state.m_catalogue ? static_cast<std::int64_t>(state.m_catalogue->m_version) : 0)
+            .with("configuration_age_us", age ? age->count() : -1));
+}
+
+void countRefusal(State &state, const Problem &problem)
+{
+    Reporting::count(state.m_counters, "requests_refused{id=\"" + toString(problem.m_id) + "\",outcome=\"" + Dispatch::toString(problem.m_outcome) + "\"}");
+}
+
+}
+
+void onRequestArrived(State &state, const RequestArrived &request, TimePoint now, Actions &actions)
+{
+    Reporting::count(state.m_counters, "requests");
+    auto admitted = admit(state, request, now);
+    if (!admitted) {
+        countRefusal(state, admitted.error());
+        logRefusal(state, request.m_facts.m_attemptId, admitted.error(), now, actions);
+        actions.emplace_back(AnswerProblem{request.m_exchange, admitted.error()});
+        return;
+    }
+    const ExchangeId id = request.m_exchange;
+    state.m_due.emplace(admitted->m_deadline + state.m_settings.m_answerGrace, Due{DueKind::Deadline, id});
+    state.m_exchanges.emplace(id, std::move(*admitted));
+    drawServer(state, id, Scheduling::DrawPurpose::First, now, actions);
+}
+
+void refuse(State &state, ExchangeId id, const Problem &problem, TimePoint now, Actions &actions)
+{
+    const Exchange &exchange = state.m_exchanges.at(id);
+    Problem exact = problem;
+    const bool contradicts = exchange.m_mayHaveRun && (exact.m_outcome == Outcome::NotRun || exact.m_status == HttpServiceUnavailable);
+    if (contradicts) {
+        exact.m_outcome = Outcome::Unknown;
+        exact.m_status = HttpBadGateway;
+        exact.m_retryAfter.reset();
+    }
+    countRefusal(state, exact);
+    logRefusal(state, exchange.m_request.m_facts.m_attemptId, exact, now, actions);
+    actions.emplace_back(AnswerProblem{id, exact});
+    endExchange(state, id, now, actions);
+}
+
+void endExchange(State &state, ExchangeId id, TimePoint now, Actions &actions)
+{
+    const auto found = state.m_exchanges.find(id);
+    const Exchange exchange = std::move(found->second);
+    state.m_exchanges.erase(found);
+    if (exchange.m_draw) {
+        Scheduling::withdraw(state.m_scheduler, {state.m_settings.m_host, *exchange.m_draw});
+        state.m_draws.erase(*exchange.m_draw);
+    }
+    for (const AttemptId attempt : exchange.m_running) {
+        if (exchange.m_route.m_idempotent) {
+            finishAttempt(state, attempt, Scheduling::AttemptEnd::Abandoned, {}, now);
+            actions.emplace_back(CancelAttempt{attempt, false});
+        } else {
+            state.m_attempts.at(attempt).m_exchange = 0; // Its end still tells about the server.
+            actions.emplace_back(CancelAttempt{attempt, true});
+        }
+    }
+    if (exchange.m_failedAnswer) {
+        actions.emplace_back(CancelAttempt{*exchange.m_failedAnswer, true});
+    }
+}
+
+void onCallerGone(State &state, const CallerGone &gone, TimePoint now, Actions &actions)
+{
+    const auto found = state.m_exchanges.find(gone.m_exchange);
+    if (found == state.m_exchanges.end()) {
+        return;
+    }
+    Reporting::count(state.m_counters, "callers_gone");
+    log(actions,
+        LogLine("caller-gone")
+            .with("request", found->second.m_request.m_facts.m_attemptId)
+            .with("after_us", (now - found->second.m_arrivedAt).count())
+            .with("attempts_running", static_cast<std::int64_t>(found->second.m_running.size())));
+    endExchange(state, gone.m_exchange, now, actions);
+}
+
+void onDeadline(State &state, ExchangeId id, TimePoint now, Actions &actions)
+{
+    const auto found = state.m_exchanges.find(id);
+    if (found == state.m_exchanges.end()) {
+        return;
+    }
+    Exchange &exchange = found->second;
+    const bool mayHaveRun = exchange.m_mayHaveRun || !exchange.m_running.empty();
+    exchange.m_mayHaveRun = mayHaveRun;
+    if (mayHaveRun) {
+        return refuse(state, id, {HttpGatewayTimeout, ErrorId::RequestDeadlineExceeded, Outcome::Unknown, "the deadline is over", {}}, now, actions);
+    }
+    refuse(state, id, {HttpServiceUnavailable, ErrorId::RequestDeadlineExceeded, Outcome::NotRun, "the deadline is over", Duration(0)}, now, actions);
+}
+
+}
--- /dev/null
+++ b/src/http/answerreader.cpp
@@ -0,0 +1,125 @@
+#include <ragwortrelay/http/answerreader.h>
+
+#include <ostream> // Boost.Beast 1.74 needs it and doesn't include it.
+#include <utility>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <limits>
+#include <optional>
+namespace RagwortRelay::Http {
+
+namespace beast = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t LargestHead = 32U << 10U; // bytes
+constexpr std::uint16_t FirstFinalStatus = 200;
+
+}
+
+struct AnswerReader::Implementation {
+    explicit Implementation(AnswerBody body) : m_body(body)
+    {
+        restart();
+    }
+
+    void restart()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(LargestHead);
+        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max()); // Boost 1.74 takes boost::none for 0.
+        m_parser->skip(m_body == AnswerBody::None);
+    }
+
+    /// Takes the head in; returns false for an interim answer, behind which another one follows.
+    bool takeHead()
+    {
+        const auto &message = m_parser->get();
+        if (message.result_int() < FirstFinalStatus) {
+            return false;
+        }
+        m_head.m_status = static_cast<std::uint16_t>(message.result_int());
+        for (const auto &field : message) {
+            m_head.m_headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        }
+        const auto length = m_parser->content_length();
+        m_head.m_contentLength = length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+        m_head.m_keepsConnection = message.keep_alive() && !m_parser->need_eof();
+        m_state = AnswerState::Body;
+        return true;
+    }
+
+    AnswerBody m_body;
+    std::optional<beast::response_parser<beast::string_body>> m_parser;
+    AnswerHead m_head;
+    AnswerState m_state = AnswerState::Head;
+};
+
+AnswerReader::AnswerReader(AnswerBody body) : m_implementation(std::make_unique<Implementation>(body))
+{
+}
+
+AnswerReader::~AnswerReader() = default;
+AnswerReader::AnswerReader(AnswerReader &&) noexcept = default;
+AnswerReader &AnswerReader::operator=(AnswerReader &&) noexcept = default;
+
+std::size_t AnswerReader::put(std::string_view bytes)
+{
+    Implementation &reader = *m_implementation;
+    std::size_t used = 0;
+    while (used < bytes.size() && (reader.m_state == AnswerState::Head || reader.m_state == AnswerState::Body)) {
+        boost::beast::error_code error;
+        const std::size_t taken = reader.m_parser->put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+        used += taken;
+        if (error && error != beast::error::need_more) {
+            reader.m_state = AnswerState::Broken;
+            break;
+        }
+        if (reader.m_state == AnswerState::Head && reader.m_parser->is_header_done() && !reader.takeHead()) {
+            reader.restart();
+            continue;
+        }
+        if (reader.m_state == AnswerState::Body && reader.m_parser->is_done()) {
+            reader.m_state = AnswerState::Whole;
+        }
+        if (error == beast::error::need_more || taken == 0) {
+            break;
+        }
+    }
+    return used;
+}
+
+void AnswerReader::putEnd()
+{
+    Implementation &reader = *m_implementation;
+    boost::beast::error_code error;
+    const bool isInBody = reader.m_state == AnswerState::Body;
+    if (isInBody) {
+        reader.m_parser->put_eof(error);
+    }
+    reader.m_state = isInBody && !error && reader.m_parser->is_done() ? AnswerState::Whole : AnswerState::Broken;
+}
+
+AnswerState AnswerReader::state() const
+{
+    return m_implementation->m_state;
+}
+
+const AnswerHead &AnswerReader::head() const
+{
+    return m_implementation->m_head;
+}
+
+bool AnswerReader::endsWithConnection() const
+{
+    return m_implementation->m_parser->need_eof();
+}
+
+std::string AnswerReader::takeBody()
+{
+    return std::exchange(m_implementation->m_parser->get().body(), {});
+}
+
+}
--- /dev/null
+++ b/src/http/dialect.cpp
@@ -0,0 +1,158 @@
+#include <ragwortrelay/http/dialect.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace RagwortRelay::Http {
+
+namespace {
+
+constexpr std::uint16_t ServiceUnavailable = 503;
+constexpr std::chrono::milliseconds LongestTimeLeft = std::chrono::hours(1);
+constexpr std::size_t ShortestSecret = 16; ///< Characters; shorter texts would be found by chance.
+
+/// Reads one metric of an ORCA load report in text form, or 0.
+/// Source: Open Request Cost Aggregation, header `endpoint-load-metrics`.
+double metricOf(std::string_view report, std::string_view name)
+{
+    const std::size_t start = report.find(name);
+    if (start == std::string_view::npos) {
+        return 0.0;
+    }
+    double value = 0.0;
+    std::from_chars(report.data() + start + name.size(), report.data() + report.size(), value);
+    return value;
+}
+
+std::optional<LoadReport> readOrcaLoad(std::string_view value)
+{
+    constexpr double MostRequests = 1e6;
+    LoadReport load;
+    load.m_running = static_cast<std::uint32_t>(std::clamp(metricOf(value, "named_metrics.busy="), 0.0, MostRequests));
+    load.m_draining = metricOf(value, "named_metrics.draining=") > 0.0;
+    return load;
+}
+
+bool readOutcome(std::uint16_t status, std::string_view value)
+{
+    return status == ServiceUnavailable && value == "not-run";
+}
+
+std::optional<Duration> readMilliseconds(std::string_view value)
+{
+    std::int64_t milliseconds = 0;
+    const char *end = value.data() + value.size();
+    const auto [stop, code] = std::from_chars(value.data(), end, milliseconds);
+    const bool isWhole = code == std::errc() && stop == end && milliseconds > 0 && milliseconds <= LongestTimeLeft.count();
+    return isWhole ? std::optional<Duration>(std::chrono::milliseconds(milliseconds)) : std::nullopt;
+}
+
+std::string hostOf(std::string_view value)
+{
+    const std::size_t port = value.starts_with('[') ? value.find(':', value.find(']')) : value.find(':');
+    std::string host(value.substr(0, port));
+    std::ranges::transform(host, host.begin(), [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+    return host;
+}
+
+bool isIn(const std::string &name, std::initializer_list<std::string_view> names)
+{
+    return std::ranges::any_of(names, [&](std::string_view candidate) { return !candidate.empty() && sameName(name, candidate); });
+}
+
+/// Returns the part of the key's header that must stay secret; empty when it is too short to be one.
+std::string_view secretOf(std::string_view key)
+{
+    const std::size_t start = key.find_last_of(" .");
+    const std::string_view secret = start == std::string_view::npos ? key : key.substr(start + 1);
+    return secret.size() >= ShortestSecret ? secret : std::string_view();
+}
+
+bool carries(const Header &header, std::string_view secret)
+{
+    return !secret.empty() && (header.m_value.find(secret) != std::string::npos || header.m_name.find(secret) != std::string::npos);
+}
+
+}
+
+Dialect ownDialect()
+{
+    Dialect dialect;
+    dialect.m_timeLeft = "Ragwortrelay-Deadline-Ms";
+    dialect.m_key = "Authorization";
+    dialect.m_idempotencyKey = "Idempotency-Key";
+    dialect.m_load = "endpoint-load-metrics";
+    dialect.m_notRun = "Ragwortrelay-Outcome";
+    dialect.m_outcome = "Ragwortrelay-Outcome";
+    dialect.m_readKey = Workspaces::parseBearer;
+    dialect.m_readLoad = readOrcaLoad;
+    dialect.m_readNotRun = readOutcome;
+    return dialect;
+}
+
+std::optional<RequestFacts> readRequestFacts(const Dialect &dialect, const RequestHead &head)
+{
+    for (const std::string &name : {dialect.m_attemptId, dialect.m_timeLeft, dialect.m_key, dialect.m_idempotencyKey}) {
+        if (!name.empty() && countHeaders(head.m_headers, name) > 1) {
+            return std::nullopt;
+        }
+    }
+    const auto valueOf = [&](const std::string &name) {
+        return name.empty() ? std::string_view() : findHeader(head.m_headers, name).value_or(std::string_view());
+    };
+    RequestFacts facts;
+    facts.m_host = hostOf(valueOf("Host"));
+    facts.m_path = head.m_target.substr(0, head.m_target.find('?'));
+    facts.m_attemptId = valueOf(dialect.m_attemptId);
+    facts.m_timeLeft = readMilliseconds(valueOf(dialect.m_timeLeft));
+    facts.m_key = valueOf(dialect.m_key);
+    facts.m_idempotencyKey = valueOf(dialect.m_idempotencyKey);
+    return facts;
+}
+
+RequestHead headForServer(const Dialect &dialect, const RequestHead &head, const std::string &key, const ServerNotes &notes, std::size_t bodySize)
+{
+    RequestHead result{head.m_method, head.m_target, 1, {}};
+    const std::string_view secret = secretOf(key);
+    for (Header &header : endToEndHeaders(head.m_headers)) {
+        const bool isWrittenAnew = isIn(header.m_name, {"Content-Length", "Expect", dialect.m_timeLeft, dialect.m_workspace, dialect.m_expectedServer});
+        if (!isWrittenAnew && !isIn(header.m_name, {dialect.m_key}) && !carries(header, secret)) {
+            result.m_headers.push_back(std::move(header));
+        }
+    }
+    const auto add = [&result](const std::string &name, std::string value) {
+        if (!name.empty() && !value.empty()) {
+            result.m_headers.push_back({name, std::move(value)});
+        }
+    };
+    const auto timeLeft = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(notes.m_timeLeft));
+    add(dialect.m_timeLeft, std::to_string(timeLeft.count()));
+    add(dialect.m_workspace, notes.m_workspace);
+    add(dialect.m_expectedServer, notes.m_expectedServer);
+    const bool hadBody = countHeaders(head.m_headers, "Content-Length") + countHeaders(head.m_headers, "Transfer-Encoding") > 0;
+    if (bodySize > 0 || hadBody) {
+        result.m_headers.push_back({"Content-Length", std::to_string(bodySize)});
+    }
+    return result;
+}
+
+AnswerFacts readAnswerFacts(const Dialect &dialect, const AnswerHead &head)
+{
+    AnswerFacts facts;
+    const auto load = findHeader(head.m_headers, dialect.m_load);
+    facts.m_load = load ? dialect.m_readLoad(*load) : std::nullopt;
+    const auto notRun = findHeader(head.m_headers, dialect.m_notRun);
+    facts.m_notRun = notRun && dialect.m_readNotRun(head.m_status, *notRun);
+    facts.m_attemptId = dialect.m_attemptId.empty() ? std::string_view() : findHeader(head.m_headers, dialect.m_attemptId).value_or(std::string_view());
+    return facts;
+}
+
+Headers headersForCaller(const Dialect &dialect, const AnswerHead &head)
+{
+    Headers kept = endToEndHeaders(head.m_headers);
+    std::erase_if(kept, [&](const Header &header) { return isIn(header.m_name, {"Content-Length", dialect.m_load, dialect.m_notRun}); });
+    return kept;
+}
+
+}
--- /dev/null
+++ b/src/http/requestcheck.cpp
@@ -0,0 +1,144 @@
+#include <ragwortrelay/detail/http/requestcheck.h>
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+
+namespace RagwortRelay::Http::detail {
+
+namespace {
+
+constexpr std::uint16_t ContentTooLarge = 413;
+constexpr std::uint16_t ExpectationFailed = 417;
+
+ReadRefusal malformed(const std::string &detail)
+{
+    return {400, ErrorId::RequestMalformed, detail};
+}
+
+bool isFieldValue(const std::string &text)
+{
+    return std::ranges::none_of(text, [](char character) {
+        const auto byte = static_cast<unsigned char>(character);
+        return (byte < ' ' && byte != '\t') || byte == 0x7F;
+    });
+}
+
+std::optional<std::uint64_t> parseLength(std::string_view text)
+{
+    std::uint64_t length = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), length);
+    const bool isWhole = code == std::errc() && end == text.data() + text.size();
+    return isWhole ? std::optional(length) : std::nullopt;
+}
+
+std::optional<ReadRefusal> checkFraming(const RequestHead &head, const RequestLimits &limits)
+{
+    const std::size_t lengths = countHeaders(head.m_headers, "Content-Length");
+    const std::size_t encodings = countHeaders(head.m_headers, "Transfer-Encoding");
+    if (lengths + encodings > 1) {
+        return malformed("the request gives the length of its body more than once");
+    }
+    const auto encoding = findHeader(head.m_headers, "Transfer-Encoding");
+    if (encoding && (!sameName(*encoding, "chunked") || head.m_minorVersion == 0)) {
+        return malformed("the only transfer coding taken is 'chunked'");
+    }
+    const auto length = findHeader(head.m_headers, "Content-Length");
+    const auto bytes = length ? parseLength(*length) : std::optional<std::uint64_t>(0);
+    if (!bytes) {
+        return malformed("the Content-Length is no number");
+    }
+    if (*bytes > limits.m_bodyBytes) {
+        return ReadRefusal{
+            ContentTooLarge, ErrorId::RequestTooLarge, "the body is larger than the " + std::to_string(limits.m_bodyBytes) + " bytes that this host takes"};
+    }
+    return std::nullopt;
+}
+
+/// Headers of which a request has one at most, since two could be told apart by no rule.
+std::optional<ReadRefusal> checkSingles(const RequestHead &head)
+{
+    const std::size_t hosts = countHeaders(head.m_headers, "Host");
+    if (hosts > 1 || (hosts == 0 && head.m_minorVersion == 1)) {
+        return malformed("the request needs one Host header");
+    }
+    const std::size_t expectations = countHeaders(head.m_headers, "Expect");
+    if (expectations > 1 || (expectations == 1 && !sameName(*findHeader(head.m_headers, "Expect"), "100-continue"))) {
+        return ReadRefusal{ExpectationFailed, ErrorId::RequestMalformed, "the only expectation met is '100-continue'"};
+    }
+    return std::nullopt;
+}
+
+/// Tells whether a target is a path with an optional query.
+/// Source: RFC 9112, section 3.2.1.
+bool isOriginForm(std::string_view target)
+{
+    return target.starts_with('/') && std::ranges::all_of(target, [](char character) {
+               const auto byte = static_cast<unsigned char>(character);
+               return byte > ' ' && byte < 0x7F && character != '#' && character != '\\';
+           });
+}
+
+bool isDotSegment(std::string_view segment)
+{
+    const std::string_view name = segment.substr(0, segment.find(';'));
+    return name == "." || name == "..";
+}
+
+/// Tells whether the path has a segment that a server would resolve, so that it could lead around a route. Escaped dots and
+/// slashes count as what they stand for.
+bool hasDotSegment(std::string_view path)
+{
+    std::string plain;
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        const std::string_view escape = path.substr(i, 3);
+        const bool isDot = sameName(escape, "%2e");
+        const bool isSlash = sameName(escape, "%2f") || sameName(escape, "%5c");
+        plain += isDot ? '.' : (isSlash ? '/' : path[i]);
+        i += isDot || isSlash ? 2 : 0;
+    }
+    std::string_view rest = plain;
+    while (!rest.empty()) {
+        rest.remove_prefix(1);
+        const std::size_t end = std::min(rest.find('/'), rest.size());
+        if (isDotSegment(rest.substr(0, end))) {
+            return true;
+        }
+        rest.remove_prefix(end);
+    }
+    return false;
+}
+
+std::optional<ReadRefusal> checkTarget(const RequestHead &head)
+{
+    if (head.m_method == "CONNECT" || head.m_method == "TRACE") {
+        return malformed("this method is not taken");
+    }
+    const std::string_view target = head.m_target;
+    if (!isOriginForm(target)) {
+        return malformed("the target must be a path");
+    }
+    if (hasDotSegment(target.substr(0, target.find('?')))) {
+        return malformed("the path must not have dot segments");
+    }
+    return std::nullopt;
+}
+
+}
+
+std::optional<ReadRefusal> checkHead(const RequestHead &head, const RequestLimits &limits)
+{
+    for (const Header &header : head.m_headers) {
+        if (!isFieldValue(header.m_value)) {
+            return malformed("the value of a header holds a control character");
+        }
+    }
+    for (const auto &check : {checkTarget(head), checkSingles(head), checkFraming(head, limits)}) {
+        if (check) {
+            return check;
+        }
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/http/requestreader.cpp
@@ -0,0 +1,136 @@
+#include <ragwortrelay/detail/http/requestcheck.h>
+#include <ragwortrelay/http/requestreader.h>
+
+#include <ostream> // Boost.Beast 1.74 needs it and doesn't include it.
+#include <utility>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace RagwortRelay::Http {
+
+namespace beast = boost::beast::http;
+
+namespace {
+
+constexpr std::uint16_t BadRequest = 400;
+constexpr std::uint16_t ContentTooLarge = 413;
+constexpr std::uint16_t HeaderFieldsTooLarge = 431;
+
+ReadRefusal refusalOf(const boost::beast::error_code &error, const RequestLimits &limits)
+{
+    if (error == beast::error::header_limit) {
+        return {HeaderFieldsTooLarge,
+                ErrorId::RequestTooLarge,
+                "the header is larger than the " + std::to_string(limits.m_headerBytes) + " bytes that this host takes"};
+    }
+    if (error == beast::error::body_limit) {
+        return {ContentTooLarge, ErrorId::RequestTooLarge, "the body is larger than the " + std::to_string(limits.m_bodyBytes) + " bytes that this host takes"};
+    }
+    return {BadRequest, ErrorId::RequestMalformed, "the request can't be read: " + error.message()};
+}
+
+}
+
+struct RequestReader::Implementation {
+    explicit Implementation(const RequestLimits &limits) : m_limits(limits)
+    {
+        m_parser.header_limit(static_cast<std::uint32_t>(limits.m_headerBytes));
+        m_parser.body_limit(limits.m_bodyBytes);
+    }
+
+    void refuse(ReadRefusal refusal)
+    {
+        m_refusal = std::move(refusal);
+        m_state = ReadState::Refused;
+    }
+
+    void takeHead()
+    {
+        const auto &message = m_parser.get();
+        m_head.m_method = std::string(message.method_string());
+        m_head.m_target = std::string(message.target());
+        m_head.m_minorVersion = message.version() % 10;
+        for (const auto &field : message) {
+            m_head.m_headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        }
+        m_keepsConnection = message.keep_alive();
+        const auto refusal = detail::checkHead(m_head, m_limits);
+        if (refusal) {
+            return refuse(*refusal);
+        }
+        m_state = ReadState::Body;
+    }
+
+    RequestLimits m_limits;
+    beast::request_parser<beast::string_body> m_parser;
+    RequestHead m_head;
+    ReadState m_state = ReadState::Head;
+    ReadRefusal m_refusal;
+    bool m_keepsConnection = true;
+};
+
+RequestReader::RequestReader(const RequestLimits &limits) : m_implementation(std::make_unique<Implementation>(limits))
+{
+}
+
+RequestReader::~RequestReader() = default;
+RequestReader::RequestReader(RequestReader &&) noexcept = default;
+RequestReader &RequestReader::operator=(RequestReader &&) noexcept = default;
+
+std::size_t RequestReader::put(std::string_view bytes)
+{
+    Implementation &reader = *m_implementation;
+    std::size_t used = 0;
+    while (used < bytes.size() && reader.m_state != ReadState::Complete && reader.m_state != ReadState::Refused) {
+        boost::beast::error_code error;
+        const std::size_t taken = reader.m_parser.put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+        used += taken;
+        if (error && error != beast::error::need_more) {
+            reader.refuse(refusalOf(error, reader.m_limits));
+            break;
+        }
+        if (reader.m_state == ReadState::Head && reader.m_parser.is_header_done()) {
+            reader.takeHead();
+        }
+        if (reader.m_state == ReadState::Body && reader.m_parser.is_done()) {
+            reader.m_state = ReadState::Complete;
+        }
+        if (error == beast::error::need_more || taken == 0) {
+            break;
+        }
+    }
+    return used;
+}
+
+ReadState RequestReader::state() const
+{
+    return m_implementation->m_state;
+}
+
+const ReadRefusal &RequestReader::refusal() const
+{
+    return m_implementation->m_refusal;
+}
+
+const RequestHead &RequestReader::head() const
+{
+    return m_implementation->m_head;
+}
+
+std::string RequestReader::takeBody()
+{
+    return std::move(m_implementation->m_parser.get().body());
+}
+
+bool RequestReader::expectsContinue() const
+{
+    return findHeader(m_implementation->m_head.m_headers, "Expect").has_value();
+}
+
+bool RequestReader::keepsConnection() const
+{
+    return m_implementation->m_keepsConnection;
+}
+
+}
--- /dev/null
+++ b/src/limits/pool.cpp
@@ -0,0 +1,63 @@
+#include <ragwortrelay/limits/pool.h>
+
+#include <algorithm>
+
+namespace RagwortRelay::Limits {
+
+namespace {
+
+/// A share of a small burst must still let one request pass.
+constexpr double LeastBurst = 1.0;
+
+double burstOf(const Pool &pool)
+{
+    return pool.m_share > 0.0 ? std::max(LeastBurst, pool.m_burst * pool.m_share) : 0.0;
+}
+
+}
+
+void refill(Pool &pool, TimePoint now)
+{
+    const double seconds = std::chrono::duration<double>(std::max(Duration(0), now - pool.m_refilledAt)).count();
+    pool.m_tokens = std::min(burstOf(pool), pool.m_tokens + seconds * pool.m_rate * pool.m_share);
+    pool.m_refilledAt = std::max(pool.m_refilledAt, now);
+}
+
+void setLimit(Pool &pool, double rate, double burst, TimePoint now)
+{
+    refill(pool, now);
+    pool.m_rate = rate;
+    pool.m_burst = burst;
+    refill(pool, now);
+}
+
+void setShare(Pool &pool, double share, TimePoint now)
+{
+    refill(pool, now);
+    pool.m_share = share;
+    refill(pool, now);
+}
+
+bool takeToken(Pool &pool, TimePoint now)
+{
+    refill(pool, now);
+    if (pool.m_tokens < 1.0) {
+        return false;
+    }
+    pool.m_tokens -= 1.0;
+    return true;
+}
+
+std::optional<Duration> waitForToken(const Pool &pool)
+{
+    if (pool.m_tokens >= 1.0) {
+        return Duration(0);
+    }
+    const double perSecond = pool.m_rate * pool.m_share;
+    if (perSecond <= 0.0) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((1.0 - pool.m_tokens) / perSecond));
+}
+
+}
--- /dev/null
+++ b/src/loop/asio.cpp
@@ -0,0 +1,32 @@
+#include <ragwortrelay/loop/asio.h>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace RagwortRelay::Loop {
+
+namespace {
+
+void setOption(tcp::socket &socket, int level, int name, int value)
+{
+    ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
+}
+
+}
+
+void tune(tcp::socket &socket, const Vigilance &vigilance)
+{
+    ErrorCode ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    if (vigilance.m_unacknowledgedMs > 0) {
+        setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, vigilance.m_unacknowledgedMs);
+    }
+    if (vigilance.m_keepAliveIdleS > 0) {
+        setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+        setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, vigilance.m_keepAliveIdleS);
+        setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, vigilance.m_keepAliveIntervalS);
+        setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, vigilance.m_keepAliveProbes);
+    }
+}
+
+}
--- /dev/null
+++ b/src/loop/backendpool.cpp
@@ -0,0 +1,265 @@
+#include <ragwortrelay/http/writer.h>
+#include <ragwortrelay/loop/backendpool.h>
+#include <ragwortrelay/loop/clock.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace RagwortRelay::Loop {
+
+namespace {
+
+constexpr std::uint16_t FirstFailureStatus = 400;
+
+/// Returns the idle time that a server states in its `Keep-Alive` header, or nothing.
+std::optional<Duration> statedIdleTime(const Http::Headers &headers)
+{
+    constexpr std::string_view Name = "timeout=";
+    const auto value = Http::findHeader(headers, "Keep-Alive");
+    const std::size_t start = value ? value->find(Name) : std::string_view::npos;
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const char *digits = value->data() + start + Name.size();
+    const auto [end, code] = std::from_chars(digits, value->data() + value->size(), seconds);
+    return code == std::errc() ? std::optional<Duration>(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
+}
+
+BackendPool::BackendPool(asio::io_context &context, const BackendSettings &settings, const Http::Dialect &dialect, EventHandler handler)
+    : m_context(context), m_settings(settings), m_dialect(dialect), m_handler(std::move(handler))
+{
+}
+
+void BackendPool::start(const Host::StartAttempt &order, const CallerRequest &request)
+{
+    const TimePoint now = currentTime();
+    const Http::ServerNotes notes{order.m_workspace.text(), order.m_server.text(), order.m_timeLeft};
+    const std::size_t bodySize = request.m_body ? request.m_body->size() : 0;
+    std::string head = Http::writeHead(Http::headForServer(m_dialect, request.m_head, request.m_facts.m_key, notes, bodySize));
+    Attempt attempt;
+    attempt.m_server = order.m_server;
+    attempt.m_attemptId = request.m_facts.m_attemptId;
+    attempt.m_stream = std::make_shared<AnswerStream>();
+    attempt.m_connection = takeIdle(order.m_server, order.m_use, now);
+    const bool isNew = attempt.m_connection == nullptr;
+    if (isNew) {
+        attempt.m_connection = std::make_shared<ClientConnection>(m_context, m_settings.m_vigilance);
+        ++m_opened;
+    }
+    const std::shared_ptr<ClientConnection> connection = attempt.m_connection;
+    const Host::AttemptId id = order.m_attempt;
+    m_attempts.emplace(id, std::move(attempt));
+    const auto body = request.m_head.m_method == "HEAD" ? Http::AnswerBody::None : Http::AnswerBody::Expected;
+    connection->send(std::move(head), request.m_body, body, [this, id](AnswerEvent event) { onAnswer(id, event); });
+    if (isNew) {
+        connection->connect(endpointOf<tcp>(order.m_address), std::min(m_settings.m_connectTimeout, std::max(order.m_timeLeft, Duration(1000))));
+    }
+}
+
+void BackendPool::cancel(const Host::CancelAttempt &cancelled)
+{
+    m_answers.erase(cancelled.m_attempt);
+    const auto found = m_attempts.find(cancelled.m_attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    if (cancelled.m_lettingItRun) {
+        found->second.m_isWanted = false;
+        return;
+    }
+    found->second.m_connection->close();
+    m_attempts.erase(found);
+}
+
+std::shared_ptr<AnswerStream> BackendPool::answerOf(Host::AttemptId attempt)
+{
+    const auto whole = m_answers.find(attempt);
+    if (whole != m_answers.end()) {
+        std::shared_ptr<AnswerStream> stream = std::move(whole->second);
+        m_answers.erase(whole);
+        return stream;
+    }
+    const auto running = m_attempts.find(attempt);
+    if (running == m_attempts.end()) {
+        return nullptr;
+    }
+    const std::shared_ptr<ClientConnection> connection = running->second.m_connection;
+    running->second.m_stream->m_onTaken = [connection] { connection->pauseReading(false); };
+    running->second.m_stream->m_onAbandoned = [this, attempt] { abandon(attempt); };
+    return running->second.m_stream;
+}
+
+void BackendPool::abandon(Host::AttemptId attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found != m_attempts.end()) {
+        found->second.m_connection->close();
+        m_attempts.erase(found);
+        m_handler(Host::AttemptEnded{attempt, false, true});
+    }
+}
+
+void BackendPool::dropConnections(const ServerId &server)
+{
+    const auto found = m_idle.find(server);
+    if (found == m_idle.end()) {
+        return;
+    }
+    const std::vector<IdleConnection> connections = std::move(found->second);
+    m_idle.erase(found);
+    for (const IdleConnection &idle : connections) {
+        idle.m_connection->close();
+    }
+}
+
+std::uint64_t BackendPool::opened() const
+{
+    return m_opened;
+}
+
+std::shared_ptr<ClientConnection> BackendPool::takeIdle(const ServerId &server, Host::ConnectionUse use, TimePoint now)
+{
+    const auto found = m_idle.find(server);
+    while (found != m_idle.end() && !found->second.empty()) {
+        const IdleConnection idle = found->second.back(); // The one that was used last.
+        found->second.pop_back();
+        const bool isFreshEnough = use == Host::ConnectionUse::Any || now - idle.m_since < m_settings.m_freshFor;
+        if (now < idle.m_until && isFreshEnough && idle.m_connection->isReusable() && idle.m_connection->isQuiet()) {
+            idle.m_connection->setIdleHandler(nullptr);
+            return idle.m_connection;
+        }
+        idle.m_connection->close();
+    }
+    return nullptr;
+}
+
+void BackendPool::onAnswer(Host::AttemptId id, AnswerEvent event)
+{
+    switch (event) {
+    case AnswerEvent::Progress: {
+        const auto found = m_attempts.find(id);
+        if (found != m_attempts.end()) {
+            onProgress(id, found->second);
+        }
+        return;
+    }
+    case AnswerEvent::Whole:
+        return onWhole(id);
+    case AnswerEvent::Failed:
+        return onFailed(id);
+    }
+}
+
+bool BackendPool::takeHead(Host::AttemptId id, Attempt &attempt)
+{
+    const Http::AnswerHead &head = attempt.m_connection->reader().head();
+    attempt.m_facts = Http::readAnswerFacts(m_dialect, head);
+    const bool namesAnother = !attempt.m_facts.m_attemptId.empty() && attempt.m_facts.m_attemptId != attempt.m_attemptId;
+    if (namesAnother) {
+        attempt.m_connection->skipAnswer();
+        return false;
+    }
+    attempt.m_hasHead = true;
+    attempt.m_stream->m_head = head;
+    attempt.m_stream->m_head.m_headers = Http::headersForCaller(m_dialect, head);
+    const auto connection = Http::findHeader(head.m_headers, "Connection");
+    if (connection && Http::sameName(*connection, "close")) {
+        m_handler(Host::ServerCloses{attempt.m_server});
+    }
+    return m_attempts.contains(id);
+}
+
+void BackendPool::onProgress(Host::AttemptId id, Attempt &attempt)
+{
+    if (!attempt.m_hasHead && !takeHead(id, attempt)) {
+        return;
+    }
+    AnswerStream &stream = *attempt.m_stream;
+    stream.m_pending += attempt.m_connection->reader().takeBody();
+    if (!attempt.m_isWanted) {
+        stream.m_pending.clear();
+        return;
+    }
+    const bool isWhole = attempt.m_connection->reader().state() == Http::AnswerState::Whole;
+    if (isWhole || (!attempt.m_isReported && stream.m_pending.size() < m_settings.m_holdAtMost)) {
+        return;
+    }
+    if (stream.m_pending.size() >= m_settings.m_holdAtMost) {
+        attempt.m_connection->pauseReading(true);
+    }
+    if (!attempt.m_isReported) {
+        attempt.m_isReported = true;
+        return reportAnswer(id, attempt, false);
+    }
+    if (stream.m_onMore) {
+        stream.m_onMore();
+    }
+}
+
+void BackendPool::onWhole(Host::AttemptId id)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const Attempt attempt = std::move(found->second);
+    m_attempts.erase(found);
+    attempt.m_stream->m_state = BodyState::Whole;
+    keep(attempt.m_server, attempt.m_connection, attempt.m_connection->reader().head());
+    if (attempt.m_isReported) {
+        if (attempt.m_stream->m_onMore) {
+            attempt.m_stream->m_onMore();
+        }
+        return m_handler(Host::AttemptEnded{id, true});
+    }
+    if (!attempt.m_attemptId.empty() && attempt.m_facts.m_attemptId.empty() && attempt.m_stream->m_head.m_status < FirstFailureStatus) {
+        return m_handler(Host::AttemptFailed{id, Dispatch::AttemptFailure::Malformed, true}); // It may belong to any request.
+    }
+    if (attempt.m_isWanted) {
+        m_answers.emplace(id, attempt.m_stream);
+    }
+    reportAnswer(id, attempt, true);
+}
+
+void BackendPool::onFailed(Host::AttemptId id)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const Attempt attempt = std::move(found->second);
+    m_attempts.erase(found);
+    attempt.m_stream->m_state = BodyState::CutShort;
+    if (attempt.m_isReported) {
+        if (attempt.m_stream->m_onMore) {
+            attempt.m_stream->m_onMore();
+        }
+        return m_handler(Host::AttemptEnded{id, false});
+    }
+    m_handler(Host::AttemptFailed{id, attempt.m_connection->failure(), attempt.m_connection->hasSent()});
+}
+
+void BackendPool::reportAnswer(Host::AttemptId id, const Attempt &attempt, bool whole)
+{
+    m_handler(Host::AttemptAnswered{id, attempt.m_stream->m_head.m_status, attempt.m_facts, whole});
+}
+
+void BackendPool::keep(const ServerId &server, const std::shared_ptr<ClientConnection> &connection, const Http::AnswerHead &head)
+{
+    if (!connection->isReusable()) {
+        connection->close();
+        return;
+    }
+    const auto stated = statedIdleTime(head.m_headers);
+    const Duration idleTime = stated ? *stated - m_settings.m_idleMargin : m_settings.m_idleUnstated;
+    const TimePoint now = currentTime();
+    const ClientConnection *key = connection.get();
+    connection->setIdleHandler(
+        [this, server, key] { std::erase_if(m_idle[server], [key](const IdleConnection &idle) { return idle.m_connection.get() == key; }); });
+    m_idle[server].push_back({connection, now, now + idleTime});
+}
+
+}
--- /dev/null
+++ b/src/loop/callerconnection.cpp
@@ -0,0 +1,354 @@
+#include <ragwortrelay/core/hash.h>
+#include <ragwortrelay/detail/loop/callerconnection.h>
+#include <ragwortrelay/detail/loop/problem.h>
+#include <ragwortrelay/http/writer.h>
+
+namespace RagwortRelay::Loop {
+
+namespace {
+
+using Http::ReadState;
+
+constexpr std::uint16_t NoContent = 204;
+constexpr std::uint16_t NotModified = 304;
+constexpr std::uint16_t RequestTimeout = 408;
+constexpr std::uint16_t ServiceUnavailable = 503;
+
+/// Time that a caller gets to read the last answer before the connection is closed.
+constexpr Duration LingerLimit = std::chrono::seconds(1);
+
+}
+
+CallerConnection::CallerConnection(CallerFront &front, tcp::socket socket) : m_front(front), m_socket(std::move(socket)), m_timer(front.m_context)
+{
+}
+
+CallerConnection::~CallerConnection() = default;
+
+void CallerConnection::start()
+{
+    tune(m_socket, m_front.m_settings.m_vigilance);
+    startTimer(m_front.m_settings.m_limits.m_headerTimeout);
+    read();
+}
+
+const CallerRequest &CallerConnection::request() const
+{
+    return m_request;
+}
+
+void CallerConnection::read()
+{
+    // Bytes behind a request wait in the system once the buffer is full; until then reading shows when the caller leaves.
+    if (m_isClosed || m_isReading || (m_phase != Phase::Reading && m_unread.size() >= ReadSize)) {
+        return;
+    }
+    m_isReading = true;
+    m_socket.async_read_some(asio::buffer(m_readBuffer), [self = shared_from_this()](const ErrorCode &error, std::size_t size) { self->onRead(error, size); });
+}
+
+void CallerConnection::onRead(const ErrorCode &error, std::size_t size)
+{
+    m_isReading = false;
+    if (m_isClosed) {
+        return;
+    }
+    if (error) {
+        return close();
+    }
+    if (m_phase == Phase::Closing) {
+        return read();
+    }
+    m_unread.append(m_readBuffer.data(), size);
+    takeBytes();
+    read();
+}
+
+void CallerConnection::takeBytes()
+{
+    if (m_unread.empty() || (m_phase != Phase::Idle && m_phase != Phase::Reading)) {
+        return;
+    }
+    if (m_phase == Phase::Idle) {
+        m_phase = Phase::Reading;
+        m_sentContinue = false;
+        m_reader.emplace(Http::RequestLimits{m_front.m_settings.m_limits.m_headerBytes, m_front.m_settings.m_limits.m_bodyBytes});
+        startTimer(m_front.m_settings.m_limits.m_headerTimeout);
+    }
+    const ReadState before = m_reader->state();
+    const std::size_t used = m_reader->put(m_unread);
+    m_unread.erase(0, used);
+    m_held += used;
+    m_front.m_heldBytes += used;
+    if (m_reader->state() == ReadState::Refused) {
+        return refuseUnread(m_reader->refusal());
+    }
+    if (m_front.m_heldBytes > m_front.m_settings.m_heldBytesAtMost) {
+        return refuseUnread({ServiceUnavailable, ErrorId::RequestOverload, "the host holds too many bodies"});
+    }
+    if (m_reader->state() == ReadState::Complete) {
+        return handOver();
+    }
+    if (m_reader->state() == ReadState::Body && before == ReadState::Head) {
+        startTimer(m_front.m_settings.m_bodyTimeout);
+        sendContinue();
+    }
+}
+
+void CallerConnection::sendContinue()
+{
+    if (!m_sentContinue && m_reader->expectsContinue()) {
+        m_sentContinue = true;
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void CallerConnection::handOver()
+{
+    m_timer.cancel();
+    const auto facts = Http::readRequestFacts(m_front.m_dialect, m_reader->head());
+    if (!facts) {
+        return refuseUnread({400, ErrorId::RequestMalformed, "a header that must be single stands twice"});
+    }
+    m_keeps = m_reader->keepsConnection();
+    m_request.m_head = m_reader->head();
+    m_request.m_facts = *facts;
+    m_request.m_body = std::make_shared<const std::string>(m_reader->takeBody());
+    m_reader.reset();
+    m_phase = Phase::Waiting;
+    m_isAnswered = false;
+    m_exchange = ++m_front.m_lastExchange;
+    m_front.m_exchanges.emplace(m_exchange, this);
+    const std::uint64_t digest = hashOf(*m_request.m_body);
+    m_front.m_handler(Host::RequestArrived{m_exchange, m_request.m_head.m_method, *facts, digest});
+}
+
+void CallerConnection::refuseUnread(const Http::ReadRefusal &refusal)
+{
+    m_keeps = false;
+    m_request = {};
+    refuse({refusal.m_status, refusal.m_id, Dispatch::Outcome::NotRun, refusal.m_detail, {}});
+}
+
+void CallerConnection::refuse(const Dispatch::Problem &problem)
+{
+    forgetExchange();
+    ++m_front.m_unwritten;
+    m_phase = Phase::Writing;
+    startTimer(m_front.m_settings.m_answerTimeout);
+    const std::string body = detail::problemBody(problem);
+    Http::AnswerHead head;
+    head.m_status = problem.m_status;
+    head.m_headers = detail::problemHeaders(m_front.m_dialect, problem);
+    m_hasBody = m_request.m_head.m_method != "HEAD";
+    writeAnswerHead(std::move(head), body.size());
+    if (m_hasBody) {
+        write(body);
+    }
+    endAnswer();
+}
+
+void CallerConnection::answer(const std::shared_ptr<AnswerStream> &stream)
+{
+    forgetExchange();
+    ++m_front.m_unwritten;
+    m_phase = Phase::Writing;
+    startTimer(m_front.m_settings.m_answerTimeout);
+    m_stream = stream;
+    const std::uint16_t status = stream->m_head.m_status;
+    m_hasBody = m_request.m_head.m_method != "HEAD" && status != NoContent && status != NotModified;
+    const bool isWhole = stream->m_state == BodyState::Whole;
+    std::optional<std::size_t> size = stream->m_head.m_contentLength;
+    if (isWhole && m_hasBody) {
+        size = stream->m_pending.size();
+    }
+    writeAnswerHead(stream->m_head, size);
+    stream->m_onMore = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->takePieces();
+        }
+    };
+    takePieces();
+}
+
+void CallerConnection::writeAnswerHead(Http::AnswerHead head, const std::optional<std::size_t> &wholeSize)
+{
+    const bool isOld = m_request.m_head.m_minorVersion == 0;
+    m_isChunked = m_hasBody && !wholeSize && !isOld;
+    m_keeps = m_keeps && !m_front.m_sendsAway && (wholeSize || m_isChunked || !m_hasBody);
+    const bool tellsSize = wholeSize && head.m_status != NoContent;
+    if (tellsSize) {
+        head.m_headers.push_back({"Content-Length", std::to_string(*wholeSize)});
+    } else if (m_isChunked) {
+        head.m_headers.push_back({"Transfer-Encoding", "chunked"});
+    }
+    if (!m_keeps) {
+        head.m_headers.push_back({"Connection", "close"});
+    } else if (isOld) {
+        head.m_headers.push_back({"Connection", "keep-alive"});
+    }
+    write(Http::writeHead(head));
+}
+
+void CallerConnection::takePieces()
+{
+    if (m_isClosed || !m_stream || m_isAnswered) {
+        return;
+    }
+    const std::shared_ptr<AnswerStream> stream = m_stream;
+    if (m_isWriting && m_next.size() >= ReadSize) {
+        return; // The caller reads slowly; the rest waits in the stream.
+    }
+    const std::string piece = std::exchange(stream->m_pending, {});
+    if (m_hasBody && !piece.empty()) {
+        write(m_isChunked ? Http::writeChunk(piece) : piece);
+    }
+    if (stream->m_state == BodyState::CutShort) {
+        return close(); // The missing end shows the caller that the answer isn't whole.
+    }
+    if (stream->m_state == BodyState::Whole) {
+        if (m_isChunked) {
+            write(Http::writeChunk({}));
+        }
+        return endAnswer();
+    }
+    if (!piece.empty() && stream->m_onTaken) {
+        stream->m_onTaken();
+    }
+}
+
+void CallerConnection::endAnswer()
+{
+    m_isAnswered = true;
+    m_stream.reset();
+    if (!m_isWriting) {
+        onWritten({});
+    }
+}
+
+void CallerConnection::write(std::string bytes)
+{
+    if (m_isWriting) {
+        m_next += bytes;
+        return;
+    }
+    m_output = std::move(bytes);
+    m_isWriting = true;
+    // Posted, so that pieces that are written one after the other go out together.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_output += std::exchange(self->m_next, {});
+        asio::async_write(self->m_socket, asio::buffer(self->m_output), [self](const ErrorCode &error, std::size_t /*size*/) { self->onWritten(error); });
+    });
+}
+
+void CallerConnection::onWritten(const ErrorCode &error)
+{
+    m_isWriting = false;
+    m_output.clear();
+    if (m_isClosed) {
+        return;
+    }
+    if (error) {
+        return close();
+    }
+    if (!m_next.empty()) {
+        return write(std::exchange(m_next, {}));
+    }
+    if (m_phase != Phase::Writing) {
+        return;
+    }
+    if (!m_isAnswered) {
+        return takePieces();
+    }
+    --m_front.m_unwritten;
+    m_request = {};
+    releaseHeld();
+    if (!m_keeps || m_front.m_sendsAway) {
+        return finishClosing();
+    }
+    m_phase = Phase::Idle;
+    startTimer(m_front.m_settings.m_limits.m_idleTimeout);
+    takeBytes();
+    read();
+}
+
+void CallerConnection::finishClosing()
+{
+    // Closing while the caller still sends would reset the connection, and the answer could be lost with it.
+    m_phase = Phase::Closing;
+    ErrorCode ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_unread.clear();
+    startTimer(LingerLimit);
+    read();
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (m_phase == Phase::Idle && m_unread.empty()) {
+        close();
+    }
+}
+
+void CallerConnection::close()
+{
+    if (m_isClosed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_isClosed = true;
+    m_timer.cancel();
+    if (m_phase == Phase::Writing) {
+        --m_front.m_unwritten;
+    }
+    releaseHeld();
+    const std::shared_ptr<AnswerStream> stream = std::move(m_stream);
+    if (stream) {
+        stream->m_onMore = nullptr;
+        if (stream->m_state == BodyState::Open && stream->m_onAbandoned) {
+            stream->m_onAbandoned();
+        }
+    }
+    ErrorCode ignored;
+    m_socket.close(ignored);
+    m_front.m_connections.erase(this);
+    if (m_phase == Phase::Waiting) {
+        const Host::ExchangeId exchange = m_exchange;
+        forgetExchange();
+        m_front.m_handler(Host::CallerGone{exchange});
+    }
+}
+
+void CallerConnection::startTimer(Duration limit)
+{
+    m_timer.expires_after(limit);
+    m_timer.async_wait([weak = weak_from_this()](const ErrorCode &error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->onTimeout();
+        }
+    });
+}
+
+void CallerConnection::onTimeout()
+{
+    if (m_isClosed || m_timer.expiry() > asio::steady_timer::clock_type::now()) {
+        return;
+    }
+    if (m_phase == Phase::Reading) {
+        return refuseUnread({RequestTimeout, ErrorId::RequestMalformed, "the request did not come in time"});
+    }
+    close();
+}
+
+void CallerConnection::releaseHeld()
+{
+    m_front.m_heldBytes -= std::exchange(m_held, 0);
+}
+
+void CallerConnection::forgetExchange()
+{
+    m_front.m_exchanges.erase(std::exchange(m_exchange, 0));
+}
+
+}
--- /dev/null
+++ b/src/loop/callerfront.cpp
@@ -0,0 +1,117 @@
+#include <ragwortrelay/detail/loop/callerconnection.h>
+#include <ragwortrelay/loop/callerfront.h>
+
+namespace RagwortRelay::Loop {
+
+CallerFront::CallerFront(asio::io_context &context, const CallerFrontSettings &settings, const Http::Dialect &dialect, EventHandler handler)
+    : m_context(context), m_settings(settings), m_dialect(dialect), m_handler(std::move(handler)), m_acceptor(context), m_acceptTimer(context)
+{
+}
+
+CallerFront::~CallerFront()
+{
+    const auto connections = std::move(m_connections);
+    m_connections.clear();
+    m_exchanges.clear();
+    for (const auto &[key, weak] : connections) {
+        if (const auto connection = weak.lock()) {
+            connection->close();
+        }
+    }
+}
+
+void CallerFront::start()
+{
+    const auto endpoint = endpointOf<tcp>(m_settings.m_listen);
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen(asio::socket_base::max_listen_connections);
+    accept();
+}
+
+void CallerFront::accept()
+{
+    m_acceptor.async_accept([this](const ErrorCode &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            return retryAccept(); // Too many descriptors are open.
+        }
+        if (m_connections.size() < m_settings.m_connectionsAtMost) {
+            const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
+            m_connections.emplace(connection.get(), connection);
+            connection->start();
+        }
+        accept();
+    });
+}
+
+void CallerFront::retryAccept()
+{
+    constexpr auto Pause = std::chrono::milliseconds(50);
+    m_acceptTimer.expires_after(Pause);
+    m_acceptTimer.async_wait([this](const ErrorCode &error) {
+        if (!error) {
+            accept();
+        }
+    });
+}
+
+const CallerRequest *CallerFront::requestOf(Host::ExchangeId exchange) const
+{
+    const auto found = m_exchanges.find(exchange);
+    return found == m_exchanges.end() ? nullptr : &found->second->request();
+}
+
+void CallerFront::answer(Host::ExchangeId exchange, const std::shared_ptr<AnswerStream> &stream)
+{
+    const auto found = m_exchanges.find(exchange);
+    if (found != m_exchanges.end()) {
+        found->second->answer(stream);
+    }
+}
+
+void CallerFront::refuse(Host::ExchangeId exchange, const Dispatch::Problem &problem)
+{
+    const auto found = m_exchanges.find(exchange);
+    if (found != m_exchanges.end()) {
+        found->second->refuse(problem);
+    }
+}
+
+void CallerFront::setLimits(const Configuration::CallerLimits &limits)
+{
+    m_settings.m_limits = limits;
+}
+
+void CallerFront::sendAway()
+{
+    m_sendsAway = true;
+    const auto connections = m_connections;
+    for (const auto &[key, weak] : connections) {
+        if (const auto connection = weak.lock()) {
+            connection->closeIfIdle();
+        }
+    }
+}
+
+void CallerFront::stopListening()
+{
+    ErrorCode ignored;
+    m_acceptor.close(ignored);
+}
+
+std::string CallerFront::address() const
+{
+    const tcp::endpoint endpoint = m_acceptor.local_endpoint();
+    return endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
+}
+
+std::size_t CallerFront::unwritten() const
+{
+    return m_unwritten;
+}
+
+}
--- /dev/null
+++ b/src/loop/clientconnection.cpp
@@ -0,0 +1,264 @@
+#include <ragwortrelay/loop/clientconnection.h>
+
+#include <sys/socket.h>
+
+namespace RagwortRelay::Loop {
+
+using Dispatch::AttemptFailure;
+using Http::AnswerState;
+
+ClientConnection::ClientConnection(asio::io_context &context, const Vigilance &vigilance) : m_socket(context), m_connectTimer(context), m_vigilance(vigilance)
+{
+}
+
+ClientConnection::~ClientConnection() = default;
+
+void ClientConnection::connect(const tcp::endpoint &endpoint, Duration limit)
+{
+    ErrorCode error;
+    m_socket.open(endpoint.protocol(), error);
+    if (error) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(AttemptFailure::ConnectFailed); });
+        return;
+    }
+    tune(m_socket, m_vigilance);
+    m_socket.async_connect(endpoint, [self = shared_from_this()](const ErrorCode &result) { self->onConnected(result); });
+    m_connectTimer.expires_after(limit);
+    m_connectTimer.async_wait([self = shared_from_this()](const ErrorCode &result) {
+        if (!result && !self->m_isConnected) {
+            self->fail(AttemptFailure::ConnectFailed);
+        }
+    });
+}
+
+void ClientConnection::onConnected(const ErrorCode &error)
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_connectTimer.cancel();
+    if (error) {
+        return fail(error == asio::error::connection_refused ? AttemptFailure::ConnectRefused : AttemptFailure::ConnectFailed);
+    }
+    m_isConnected = true;
+    read();
+    if (m_isBusy) {
+        write();
+    }
+}
+
+void ClientConnection::send(std::string head, std::shared_ptr<const std::string> body, Http::AnswerBody answerBody, Handler handler)
+{
+    m_head = std::move(head);
+    m_body = std::move(body);
+    m_answerBody = answerBody;
+    m_handler = std::move(handler);
+    m_reader.emplace(answerBody);
+    m_hasSent = false;
+    m_isBusy = true;
+    if (m_isConnected) {
+        write();
+    }
+}
+
+void ClientConnection::write()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_hasSent = true;
+    m_isWriting = true;
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head), m_body ? asio::buffer(*m_body) : asio::const_buffer()};
+    asio::async_write(m_socket, buffers, [self = shared_from_this()](const ErrorCode &error, std::size_t /*size*/) { self->onWritten(error); });
+}
+
+void ClientConnection::onWritten(const ErrorCode &error)
+{
+    m_isWriting = false;
+    if (error && !m_isClosed) {
+        // An answer may have come before the whole request was sent; it is read first.
+        m_isSpoilt = true;
+    }
+}
+
+void ClientConnection::read()
+{
+    if (m_isClosed || m_isReading || m_isPaused) {
+        return;
+    }
+    m_isReading = true;
+    m_socket.async_read_some(asio::buffer(m_readBuffer), [self = shared_from_this()](const ErrorCode &error, std::size_t size) { self->onRead(error, size); });
+}
+
+void ClientConnection::onRead(const ErrorCode &error, std::size_t size)
+{
+    m_isReading = false;
+    if (m_isClosed) {
+        return;
+    }
+    if (!m_isBusy) { // An idle connection ended, or the server sent what nobody asked for.
+        const auto onIdleEnd = std::move(m_onIdleEnd);
+        close();
+        if (onIdleEnd) {
+            onIdleEnd();
+        }
+        return;
+    }
+    if (error == asio::error::eof) {
+        return onEnd();
+    }
+    if (error) {
+        const bool timedOut = error == asio::error::timed_out;
+        return fail(timedOut ? AttemptFailure::TimedOut : AttemptFailure::Broken);
+    }
+    m_unread.append(m_readBuffer.data(), size);
+    takeBytes();
+    if (!m_isClosed) {
+        read();
+    }
+}
+
+void ClientConnection::onEnd()
+{
+    const bool isBeforeHead = m_reader->state() == AnswerState::Head;
+    m_isSpoilt = true;
+    m_reader->putEnd();
+    if (m_reader->state() == AnswerState::Whole) {
+        finish(AnswerEvent::Whole);
+    }
+    if (m_isBusy) {
+        fail(isBeforeHead ? AttemptFailure::Broken : AttemptFailure::CutShort);
+    }
+}
+
+void ClientConnection::takeBytes()
+{
+    const auto self = shared_from_this(); // A handler may let go of the connection.
+    while (m_isBusy && !m_unread.empty()) {
+        const std::size_t used = m_reader->put(m_unread);
+        m_unread.erase(0, used);
+        const AnswerState state = m_reader->state();
+        if (state == AnswerState::Broken) {
+            return fail(AttemptFailure::Malformed);
+        }
+        if (state == AnswerState::Whole) {
+            return finish(AnswerEvent::Whole);
+        }
+        if (state == AnswerState::Body) {
+            report(AnswerEvent::Progress);
+        }
+        if (used == 0) {
+            return;
+        }
+    }
+}
+
+void ClientConnection::finish(AnswerEvent event)
+{
+    if (m_handler) {
+        report(AnswerEvent::Progress); // The head may be new, and it may tell that the answer belongs to an earlier request.
+        if (m_reader->state() == AnswerState::Head) {
+            return takeBytes(); // It did.
+        }
+    }
+    // Bytes of the request that are still unsent would be taken for the next one; bytes behind the answer belong to none.
+    m_isSpoilt = m_isSpoilt || m_isWriting || !m_unread.empty() || !m_reader->head().m_keepsConnection;
+    m_isBusy = false;
+    m_body.reset();
+    const Handler handler = std::move(m_handler);
+    m_handler = nullptr;
+    if (handler) {
+        handler(event);
+    } else {
+        close();
+    }
+}
+
+void ClientConnection::fail(AttemptFailure failure)
+{
+    if (m_isClosed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_failure = failure;
+    m_isBusy = false;
+    const Handler handler = std::move(m_handler);
+    close();
+    if (handler) {
+        handler(AnswerEvent::Failed);
+    }
+}
+
+void ClientConnection::report(AnswerEvent event)
+{
+    if (m_handler) {
+        const Handler handler = m_handler;
+        handler(event);
+    }
+}
+
+void ClientConnection::detach()
+{
+    m_handler = nullptr;
+}
+
+void ClientConnection::close()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_isClosed = true;
+    m_handler = nullptr;
+    m_onIdleEnd = nullptr;
+    m_connectTimer.cancel();
+    ErrorCode ignored;
+    m_socket.close(ignored);
+}
+
+void ClientConnection::skipAnswer()
+{
+    m_isSpoilt = true;
+    m_reader.emplace(m_answerBody);
+}
+
+void ClientConnection::pauseReading(bool paused)
+{
+    m_isPaused = paused;
+    if (!paused) {
+        read();
+    }
+}
+
+Http::AnswerReader &ClientConnection::reader()
+{
+    return *m_reader;
+}
+
+bool ClientConnection::isReusable() const
+{
+    return m_isConnected && !m_isClosed && !m_isSpoilt && !m_isBusy;
+}
+
+bool ClientConnection::isQuiet()
+{
+    char byte = 0;
+    const ssize_t result = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool ClientConnection::hasSent() const
+{
+    return m_hasSent;
+}
+
+AttemptFailure ClientConnection::failure() const
+{
+    return m_failure;
+}
+
+void ClientConnection::setIdleHandler(std::function<void()> handler)
+{
+    m_onIdleEnd = std::move(handler);
+}
+
+}
--- /dev/null
+++ b/src/loop/log.cpp
@@ -0,0 +1,144 @@
+#include <ragwortrelay/loop/log.h>
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <pthread.h>
+#include <unistd.h>
+
+namespace RagwortRelay::Loop {
+
+namespace {
+
+const char *nameOf(Reporting::Severity severity)
+{
+    switch (severity) {
+    case Reporting::Severity::Debug:
+        return "debug";
+    case Reporting::Severity::Info:
+        return "info";
+    case Reporting::Severity::Warning:
+        return "warning";
+    case Reporting::Severity::Error:
+        return "error";
+    }
+    return "";
+}
+
+std::int64_t wallMicroseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
+}
+
+/// Writes all bytes, or gives up when the reader is gone.
+void writeOut(const std::string &text)
+{
+    std::size_t written = 0;
+    while (written < text.size()) {
+        const ssize_t count = ::write(STDOUT_FILENO, text.data() + written, text.size() - written);
+        if (count <= 0) {
+            return;
+        }
+        written += static_cast<std::size_t>(count);
+    }
+}
+
+}
+
+std::string toJson(const TimedLine &line, const std::string &host)
+{
+    const nlohmann::ordered_json head{
+        {"time_us", line.m_wallMicroseconds}, {"level", nameOf(line.m_line.m_severity)}, {"host", host}, {"event", line.m_line.m_event}};
+    nlohmann::ordered_json json = head;
+    for (const auto &[name, value] : line.m_line.m_fields) {
+        json[name] = value;
+    }
+    return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+LogDuty::LogDuty(std::string host, Reporting::Severity least)
+    : m_host(std::move(host)), m_least(least), m_lines(Capacity, [this] {
+        if (m_isWaiting.exchange(false)) {
+            const std::lock_guard lock(m_mutex);
+            m_hasLines.notify_one();
+        }
+    })
+{
+}
+
+LogDuty::~LogDuty()
+{
+    stop();
+}
+
+void LogDuty::start()
+{
+    m_thread = std::thread([this] { run(); });
+    pthread_setname_np(m_thread.native_handle(), "log");
+}
+
+void LogDuty::log(Reporting::LogLine line)
+{
+    if (line.m_severity >= m_least) {
+        m_lines.push({wallMicroseconds(), std::move(line)});
+    }
+}
+
+void LogDuty::stop()
+{
+    m_isStopping.store(true);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isWaiting.store(false);
+        m_hasLines.notify_one();
+    }
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+std::uint64_t LogDuty::dropped() const
+{
+    return m_lines.refused();
+}
+
+void LogDuty::run()
+{
+    constexpr auto BatchTime = std::chrono::milliseconds(200); // Lines wait so long for others to be written with.
+    while (!m_isStopping.load()) {
+        m_isWaiting.store(true);
+        writeAll();
+        {
+            std::unique_lock lock(m_mutex);
+            m_hasLines.wait(lock, [this] { return !m_isWaiting.load() || m_isStopping.load(); });
+        }
+        if (!m_isStopping.load()) {
+            std::this_thread::sleep_for(BatchTime);
+        }
+    }
+    writeAll();
+}
+
+void LogDuty::writeAll()
+{
+    std::string text;
+    m_lines.drain([&](TimedLine &&line) {
+        text += toJson(line, m_host);
+        text += '\n';
+    });
+    if (m_lines.refused() != m_droppedTold) {
+        const std::uint64_t now = m_lines.refused();
+        TimedLine line{wallMicroseconds(), Reporting::LogLine("log-lines-dropped", Reporting::Severity::Warning)};
+        line.m_line = std::move(line.m_line).with("count", static_cast<std::int64_t>(now - m_droppedTold));
+        m_droppedTold = now;
+        text += toJson(line, m_host) + '\n';
+    }
+    if (!text.empty()) {
+        writeOut(text);
+    }
+}
+
+}
--- /dev/null
+++ b/src/loop/problem.cpp
@@ -0,0 +1,52 @@
+#include <ragwortrelay/detail/loop/problem.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+
+namespace RagwortRelay::Loop::detail {
+
+namespace {
+
+constexpr std::uint16_t TooManyRequests = 429;
+constexpr std::uint16_t ServiceUnavailable = 503;
+
+std::string retryAfterOf(const Http::Dialect &dialect, Duration wait)
+{
+    const double seconds = std::max(0.0, std::chrono::duration<double>(wait).count());
+    if (!dialect.m_fractionalRetryAfter) {
+        return std::to_string(std::max(1L, std::lround(std::ceil(seconds))));
+    }
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", seconds);
+    return text.data();
+}
+
+}
+
+std::string problemBody(const Dispatch::Problem &problem)
+{
+    return nlohmann::json{{"type", "urn:ragwortrelay:error:" + toString(problem.m_id)},
+                          {"status", problem.m_status},
+                          {"title", problem.m_detail},
+                          {"id", toString(problem.m_id)},
+                          {"outcome", Dispatch::toString(problem.m_outcome)}}
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+Http::Headers problemHeaders(const Http::Dialect &dialect, const Dispatch::Problem &problem)
+{
+    Http::Headers headers{{"Content-Type", "application/problem+json"}};
+    if (!dialect.m_outcome.empty()) {
+        headers.push_back({dialect.m_outcome, Dispatch::toString(problem.m_outcome)});
+    }
+    if (problem.m_status == TooManyRequests || problem.m_status == ServiceUnavailable) {
+        headers.push_back({"Retry-After", retryAfterOf(dialect, problem.m_retryAfter.value_or(std::chrono::seconds(1)))});
+    }
+    return headers;
+}
+
+}
--- /dev/null
+++ b/src/loop/storeclient.cpp
@@ -0,0 +1,108 @@
+#include <ragwortrelay/http/writer.h>
+#include <ragwortrelay/loop/storeclient.h>
+
+namespace RagwortRelay::Loop {
+
+namespace {
+
+/// Time that the store itself is asked to wait before it answers.
+Duration waitOf(const Store::Call &call)
+{
+    const auto *follow = std::get_if<Store::FollowTable>(&call);
+    return follow == nullptr ? Duration(0) : Duration(follow->m_wait);
+}
+
+}
+
+StoreClient::StoreClient(asio::io_context &context, const StoreClientSettings &settings, const StoreFormat &format, EventHandler handler)
+    : m_context(context), m_settings(settings), m_format(format), m_handler(std::move(handler))
+{
+}
+
+void StoreClient::call(Host::StoreCallId id, const Store::Call &call)
+{
+    const StoreRequest request = m_format.m_encode(call);
+    Http::RequestHead head{request.m_method, request.m_target, 1, {{"Host", m_settings.m_address}}};
+    std::shared_ptr<const std::string> body;
+    if (!request.m_body.empty()) {
+        head.m_headers.push_back({"Content-Type", "application/json"});
+        head.m_headers.push_back({"Content-Length", std::to_string(request.m_body.size())});
+        body = std::make_shared<const std::string>(request.m_body);
+    }
+    Pending pending{call, takeIdle(), std::make_unique<asio::steady_timer>(m_context)};
+    const bool isNew = pending.m_connection == nullptr;
+    if (isNew) {
+        pending.m_connection = std::make_shared<ClientConnection>(m_context, m_settings.m_vigilance);
+    }
+    pending.m_timer->expires_after(m_settings.m_timeout + waitOf(call));
+    pending.m_timer->async_wait([this, id](const ErrorCode &error) {
+        if (!error) {
+            onTimeout(id);
+        }
+    });
+    const std::shared_ptr<ClientConnection> connection = pending.m_connection;
+    m_pending.emplace(id, std::move(pending));
+    connection->send(Http::writeHead(head), body, Http::AnswerBody::Expected, [this, id](AnswerEvent event) { onAnswer(id, event); });
+    if (isNew) {
+        connection->connect(endpointOf<tcp>(m_settings.m_address), m_settings.m_connectTimeout);
+    }
+}
+
+std::shared_ptr<ClientConnection> StoreClient::takeIdle()
+{
+    while (!m_idle.empty()) {
+        const std::shared_ptr<ClientConnection> connection = m_idle.back();
+        m_idle.pop_back();
+        if (connection->isReusable() && connection->isQuiet()) {
+            connection->setIdleHandler(nullptr);
+            return connection;
+        }
+        connection->close();
+    }
+    return nullptr;
+}
+
+void StoreClient::onAnswer(Host::StoreCallId id, AnswerEvent event)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end() || event == AnswerEvent::Progress) {
+        return;
+    }
+    const std::shared_ptr<ClientConnection> connection = found->second.m_connection;
+    if (event == AnswerEvent::Failed) {
+        const std::string reason = Dispatch::toString(connection->failure());
+        return finish(id, connection->hasSent() ? Store::Result(Store::Unanswered{reason}) : Store::Result(Store::Refused{reason}));
+    }
+    const std::uint16_t status = connection->reader().head().m_status;
+    const Store::Result result = m_format.m_decode(found->second.m_call, status, connection->reader().takeBody());
+    keep(connection);
+    finish(id, result);
+}
+
+void StoreClient::onTimeout(Host::StoreCallId id)
+{
+    const auto found = m_pending.find(id);
+    if (found != m_pending.end()) {
+        found->second.m_connection->close();
+        finish(id, Store::Unanswered{"no answer in time"});
+    }
+}
+
+void StoreClient::finish(Host::StoreCallId id, const Store::Result &result)
+{
+    m_pending.erase(id);
+    m_handler(Host::StoreAnswered{id, result});
+}
+
+void StoreClient::keep(const std::shared_ptr<ClientConnection> &connection)
+{
+    if (!connection->isReusable()) {
+        connection->close();
+        return;
+    }
+    const ClientConnection *key = connection.get();
+    connection->setIdleHandler([this, key] { std::erase_if(m_idle, [key](const auto &idle) { return idle.get() == key; }); });
+    m_idle.push_back(connection);
+}
+
+}
--- /dev/null
+++ b/src/scheduling/scheduler.cpp
@@ -0,0 +1,254 @@
+#include <ragwortrelay/scheduling/scheduler.h>
+
+#include <algorithm>
+
+namespace RagwortRelay::Scheduling {
+
+namespace {
+
+/// What a caller is told at least to wait after a refusal by overload.
+constexpr Duration LeastRetryAfter = std::chrono::milliseconds(50);
+
+DrawAnswer refusal(const Draw &draw, RefusalReason reason, Duration retryAfter)
+{
+    return {draw.m_number, std::nullopt, reason, std::max(LeastRetryAfter, retryAfter)};
+}
+
+DrawAnswer grant(Scheduler &scheduler, const Draw &draw, const ServerId &server, const Asker &asker, TimePoint now)
+{
+    const DrawId id{asker.m_host, draw.m_number};
+    startDraw(scheduler.m_book, scheduler.m_settings.m_pick, id, server, asker, now);
+    scheduler.m_granted[id] = {server, draw.m_service, now};
+    return {draw.m_number, server, {}, {}};
+}
+
+Duration usualTimeOf(const Scheduler &scheduler, const ServiceId &service)
+{
+    const auto found = scheduler.m_book.m_services.find(service);
+    return found == scheduler.m_book.m_services.end() ? Duration(0) : found->second.m_usualTime;
+}
+
+/// Takes a token of the workspace's limit.
+/// @return the refusal, or nothing when it was taken
+std::optional<DrawAnswer> takeLimit(Scheduler &scheduler, const Draw &draw, TimePoint now)
+{
+    const auto pool = scheduler.m_pools.find(draw.m_workspace);
+    if (draw.m_purpose != DrawPurpose::First || pool == scheduler.m_pools.end() || Limits::takeToken(pool->second, now)) {
+        return std::nullopt;
+    }
+    const auto wait = Limits::waitForToken(pool->second);
+    return refusal(draw, RefusalReason::OverLimit, wait.value_or(std::chrono::seconds(1)));
+}
+
+/// Takes a further attempt from the budget of its service.
+/// @return the refusal, or nothing when it was taken
+std::optional<DrawAnswer> takeBudget(Scheduler &scheduler, const Draw &draw)
+{
+    RetryBudget &budget = scheduler.m_budgets[draw.m_service];
+    const RetryLimit &limit = scheduler.m_settings.m_retries;
+    switch (draw.m_purpose) {
+    case DrawPurpose::First:
+        budget = afterRequest(budget, limit);
+        return std::nullopt;
+    case DrawPurpose::Instead:
+        return std::nullopt;
+    case DrawPurpose::Again:
+    case DrawPurpose::Hedge:
+        break;
+    }
+    if (!allowsRetry(budget, limit, scheduler.m_share)) {
+        return refusal(draw, RefusalReason::NoBudget, Duration(0));
+    }
+    budget = afterRetry(budget);
+    return std::nullopt;
+}
+
+bool goesBefore(const QueuedDraw &left, const QueuedDraw &right)
+{
+    return left.m_draw.m_priority < right.m_draw.m_priority;
+}
+
+/// Returns how long a draw would wait behind those that go before it.
+Duration expectedWait(const Scheduler &scheduler, const DrawQueue &queue, const Draw &draw, TimePoint now)
+{
+    const std::uint32_t slots = slotsOf(scheduler.m_book, draw.m_service, now);
+    if (slots == 0) {
+        return Duration::max();
+    }
+    const auto ahead = std::ranges::count_if(queue.m_draws, [&](const QueuedDraw &other) { return other.m_draw.m_priority <= draw.m_priority; });
+    return usualTimeOf(scheduler, draw.m_service) * (ahead + 1) / slots;
+}
+
+std::optional<DrawAnswer> enqueue(Scheduler &scheduler, const Draw &draw, const Asker &asker, TimePoint now)
+{
+    DrawQueue &queue = scheduler.m_queues[draw.m_service];
+    const Duration wait = expectedWait(scheduler, queue, draw, now);
+    const bool isTooLate = wait > draw.m_timeLeft - usualTimeOf(scheduler, draw.m_service) / 2;
+    if (queue.m_draws.size() >= scheduler.m_settings.m_queueAtMost || isTooLate || draw.m_purpose == DrawPurpose::Hedge) {
+        return refusal(draw, RefusalReason::Overload, std::min<Duration>(wait, std::chrono::seconds(1)));
+    }
+    const QueuedDraw entry{draw, asker, now, now + draw.m_timeLeft, now + draw.m_objectiveLeft};
+    queue.m_draws.insert(std::upper_bound(queue.m_draws.begin(), queue.m_draws.end(), entry, goesBefore), entry);
+    return std::nullopt;
+}
+
+/// Refuses the draws that can't be answered in time any more.
+void expire(Scheduler &scheduler, const ServiceId &service, DrawQueue &queue, TimePoint now, std::vector<Answered> &answers)
+{
+    const Duration usual = usualTimeOf(scheduler, service);
+    std::erase_if(queue.m_draws, [&](const QueuedDraw &entry) {
+        const bool isLate = now + usual / 2 > entry.m_answerBy;
+        if (isLate) {
+            answers.push_back({entry.m_asker.m_host, refusal(entry.m_draw, RefusalReason::Overload, usual)});
+        }
+        return isLate;
+    });
+}
+
+/// Returns the draw that is served next: the most urgent, among equals the first that can still meet its objective.
+/// @param isBlocked draws that found no server in this round
+std::deque<QueuedDraw>::iterator nextOf(DrawQueue &queue, const std::set<DrawId> &isBlocked, Duration usual, TimePoint now)
+{
+    auto best = queue.m_draws.end();
+    for (auto entry = queue.m_draws.begin(); entry != queue.m_draws.end(); ++entry) {
+        if (isBlocked.contains({entry->m_asker.m_host, entry->m_draw.m_number})) {
+            continue;
+        }
+        const bool isUrgent = best == queue.m_draws.end() || entry->m_draw.m_priority < best->m_draw.m_priority;
+        if (best != queue.m_draws.end() && entry->m_draw.m_priority > best->m_draw.m_priority) {
+            break;
+        }
+        const bool meetsObjective = now + usual <= entry->m_objectiveAt;
+        if (meetsObjective) {
+            return entry;
+        }
+        if (isUrgent) {
+            best = entry;
+        }
+    }
+    return best;
+}
+
+void serveQueue(Scheduler &scheduler, const ServiceId &service, DrawQueue &queue, RandomGenerator &random, TimePoint now, std::vector<Answered> &answers)
+{
+    constexpr std::size_t MostBlocked = 8; // Looked at past the first one that finds no server.
+    const Duration usual = usualTimeOf(scheduler, service);
+    std::set<DrawId> blocked;
+    while (blocked.size() < MostBlocked) {
+        const auto entry = nextOf(queue, blocked, usual, now);
+        if (entry == queue.m_draws.end()) {
+            return;
+        }
+        const auto server = pickServer(scheduler.m_book, scheduler.m_settings.m_pick, entry->m_draw, entry->m_asker, random, now);
+        if (server) {
+            answers.push_back({entry->m_asker.m_host, grant(scheduler, entry->m_draw, *server, entry->m_asker, now)});
+            queue.m_draws.erase(entry);
+        } else if (server.error() == PickFailure::NoServer) {
+            answers.push_back({entry->m_asker.m_host, refusal(entry->m_draw, RefusalReason::NoServer, usual)});
+            queue.m_draws.erase(entry);
+        } else {
+            blocked.insert({entry->m_asker.m_host, entry->m_draw.m_number});
+        }
+    }
+}
+
+}
+
+void setLimits(Scheduler &scheduler, const Configuration::Catalogue &catalogue, TimePoint now)
+{
+    std::erase_if(scheduler.m_pools, [&](const auto &entry) {
+        const auto workspace = catalogue.m_workspaces.find(entry.first);
+        return workspace == catalogue.m_workspaces.end() || !workspace->second.m_isLimited;
+    });
+    for (const auto &[id, workspace] : catalogue.m_workspaces) {
+        if (!workspace.m_isLimited) {
+            continue;
+        }
+        const auto [pool, isNew] = scheduler.m_pools.try_emplace(id);
+        if (isNew) {
+            pool->second.m_share = scheduler.m_share;
+            pool->second.m_refilledAt = now;
+        }
+        Limits::setLimit(pool->second, workspace.m_rate, workspace.m_burst, now);
+    }
+}
+
+void setShare(Scheduler &scheduler, double share, TimePoint now)
+{
+    if (share == scheduler.m_share) {
+        return;
+    }
+    scheduler.m_share = share;
+    for (auto &[id, pool] : scheduler.m_pools) {
+        Limits::setShare(pool, share, now);
+    }
+}
+
+std::optional<DrawAnswer> draw(Scheduler &scheduler, const Draw &draw, const Asker &asker, RandomGenerator &random, TimePoint now)
+{
+    scheduler.m_domains[asker.m_host] = asker.m_domain;
+    if (auto refused = takeLimit(scheduler, draw, now)) {
+        return refused;
+    }
+    if (auto refused = takeBudget(scheduler, draw)) {
+        return refused;
+    }
+    const DrawQueue &queue = scheduler.m_queues[draw.m_service];
+    const bool othersGoFirst = !queue.m_draws.empty() && queue.m_draws.front().m_draw.m_priority <= draw.m_priority;
+    if (!othersGoFirst) {
+        const auto server = pickServer(scheduler.m_book, scheduler.m_settings.m_pick, draw, asker, random, now);
+        if (server) {
+            return grant(scheduler, draw, *server, asker, now);
+        }
+        if (server.error() == PickFailure::NoServer) {
+            return refusal(draw, RefusalReason::NoServer, std::chrono::milliseconds(500));
+        }
+    }
+    return enqueue(scheduler, draw, asker, now);
+}
+
+void withdraw(Scheduler &scheduler, const DrawId &id)
+{
+    for (auto &[service, queue] : scheduler.m_queues) {
+        std::erase_if(queue.m_draws, [&](const QueuedDraw &entry) { return entry.m_asker.m_host == id.m_host && entry.m_draw.m_number == id.m_number; });
+    }
+}
+
+void finish(Scheduler &scheduler, const DrawDone &done, const Asker &asker, TimePoint now)
+{
+    const auto granted = scheduler.m_granted.find({asker.m_host, done.m_number});
+    if (granted != scheduler.m_granted.end()) {
+        scheduler.m_granted.erase(granted);
+    }
+    scheduler.m_domains[asker.m_host] = asker.m_domain;
+    endDraw(scheduler.m_book, scheduler.m_settings.m_pick, done, asker, now);
+}
+
+std::vector<Answered> serve(Scheduler &scheduler, RandomGenerator &random, TimePoint now)
+{
+    std::vector<Answered> answers;
+    if (now - scheduler.m_overdueAt >= scheduler.m_settings.m_overdueInterval) {
+        scheduler.m_overdueAt = now;
+        noteOverdue(scheduler.m_book, scheduler.m_settings.m_pick, scheduler.m_domains, now);
+    }
+    scheduler.m_servedAt = now;
+    for (auto &[service, queue] : scheduler.m_queues) {
+        if (!queue.m_draws.empty()) {
+            expire(scheduler, service, queue, now, answers);
+            serveQueue(scheduler, service, queue, random, now, answers);
+        }
+    }
+    return answers;
+}
+
+TimePoint nextServeAt(const Scheduler &scheduler)
+{
+    constexpr Duration QueueInterval = std::chrono::milliseconds(20); // Servers that shed become free by time alone.
+    const bool waits = std::ranges::any_of(scheduler.m_queues, [](const auto &entry) { return !entry.second.m_draws.empty(); });
+    if (waits) {
+        return scheduler.m_servedAt + QueueInterval;
+    }
+    return scheduler.m_granted.empty() ? TimePoint::max() : scheduler.m_overdueAt + scheduler.m_settings.m_overdueInterval;
+}
+
+}
--- a/src/settings/yamlreader.cpp
+++ b/src/settings/yamlreader.cpp
@@ -192,6 +192,26 @@
     return number;
 }
 
+double YamlReader::fraction(const std::string &key, double fallback, double least, double most)
+{
+    const auto value = scalar(key, Presence::Optional);
+    if (!value) {
+        return fallback;
+    }
+    const std::string &text = value->Scalar();
+    double number = 0.0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (code != std::errc() || end != text.data() + text.size()) {
+        report(value->Mark(), ErrorId::SettingsWrongType, "'" + m_path + '.' + key + "' must be a number");
+        return fallback;
+    }
+    if (!(number >= least && number <= most)) {
+        report(value->Mark(), ErrorId::SettingsOutOfRange, "'" + text + "' is out of the range " + std::to_string(least) + " to " + std::to_string(most));
+        return fallback;
+    }
+    return number;
+}
+
 bool YamlReader::has(const std::string &key) const
 {
     return m_node.IsMap() && m_node[key].IsDefined() && !m_node[key].IsNull();
