--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -1,5 +1,5 @@
 # Libraries that a deciding library may use: none of them opens files or sockets or starts threads.
-set(RAGWORTRELAY_PURE_LIBRARIES xxhash nlohmann_json::nlohmann_json ragwortrelay_msgpack tl::expected Boost::headers crypto csv)
+set(RAGWORTRELAY_PURE_LIBRARIES xxhash nlohmann_json::nlohmann_json ragwortrelay_msgpack tl::expected Boost::headers crypto csv ZLIB::ZLIB)
 
 find_package(Boost 1.74 REQUIRED)
 find_package(tl-expected REQUIRED)
@@ -10,6 +10,7 @@
 find_package(CURL REQUIRED)
 find_package(OpenSSL REQUIRED)
 find_package(Threads REQUIRED)
+find_package(ZLIB REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
 pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
--- a/include/ragwortrelay/detail/host/duties.h
+++ b/include/ragwortrelay/detail/host/duties.h
@@ -2,6 +2,8 @@
 
 #include <ragwortrelay/host/state.h>
 
+#include <string_view>
+
 namespace RagwortRelay::Host::detail {
 
 // Requests
@@ -21,12 +23,6 @@
 
 // Attempts
 
-/// Asks for a server for the next attempt of a request.
-void drawServer(State &state, ExchangeId id, Scheduling::DrawPurpose purpose, TimePoint now, Actions &actions);
-
-/// Takes in the answer to a draw.
-void onDrawAnswered(State &state, const Scheduling::DrawAnswer &answer, TimePoint now, Actions &actions);
-
 void onAttemptAnswered(State &state, const AttemptAnswered &answer, TimePoint now, Actions &actions);
 void onAttemptFailed(State &state, const AttemptFailed &failure, TimePoint now, Actions &actions);
 void onAttemptEnded(State &state, const AttemptEnded &ended, TimePoint now, Actions &actions);
@@ -35,19 +31,91 @@
 /// Tells the scheduler that an attempt has ended and forgets it; returns it, or nothing when it is unknown.
 std::optional<Attempt> finishAttempt(State &state, AttemptId id, Scheduling::AttemptEnd end, const std::optional<Http::LoadReport> &load, TimePoint now);
 
-// Configuration and servers
+/// Takes in the answer to a draw.
+/// @param lead that answered; empty when this host did by itself
+void onDrawAnswered(State &state, const HostId &lead, const Scheduling::DrawAnswer &answer, TimePoint now, Actions &actions);
+
+// Draws
+
+/// Asks for a server for the next attempt of a request.
+void drawServer(State &state, ExchangeId id, Scheduling::DrawPurpose purpose, TimePoint now, Actions &actions);
+
+/// Forgets a draw whose answer is no longer wanted.
+void withdrawDraw(State &state, std::uint64_t number);
+
+/// Tells whoever granted a draw how its attempt has ended.
+void reportDone(State &state, const HostId &lead, const Scheduling::DrawDone &done, TimePoint now);
+
+/// Asks the lead once more about a draw, or decides without it.
+void onDrawDue(State &state, std::uint64_t number, TimePoint now, Actions &actions);
+
+/// Answers draws that wait in the queues of this host.
+void serveQueues(State &state, TimePoint now, Actions &actions);
+
+// As a lead, or as a host that is asked
+
+void onDraw(State &state, const HostId &from, const Scheduling::Draw &draw, TimePoint now);
+void onDrawDone(State &state, const HostId &from, const Scheduling::DrawDone &done, TimePoint now);
+void onDrawWithdrawn(State &state, const HostId &from, const Fleet::DrawWithdrawn &withdrawn, TimePoint now);
+
+// From the lead
+
+void onDrawQueued(State &state, const HostId &from, const Fleet::DrawQueued &queued);
+
+// Fleet
+
+void onPeerSpoke(State &state, const PeerSpoke &spoke, TimePoint now, Actions &actions);
+
+/// Does what is due by time: pulses, shares of limits, seats.
+void tickFleet(State &state, TimePoint now, Actions &actions);
+
+/// Tells the lead, or the followers, of a confirmation that they lack.
+void tellConfirmation(State &state, TimePoint now);
+
+/// Tells the hosts that follow this one of changes that they lack.
+void spreadNews(State &state, Fleet::TableKind kind, TimePoint now);
+
+/// Adds a message for another host.
+void sendTo(State &state, const HostId &host, Fleet::Message message);
+
+/// Returns who this host is to schedulers.
+Scheduling::Asker selfOf(const State &state);
+
+// Tables of the store
 
 void onStoreAnswered(State &state, const StoreAnswered &answer, TimePoint now, Actions &actions);
 
 /// Starts the calls to the store that are due.
 void callStore(State &state, TimePoint now, Actions &actions);
 
+/// Brings in force what has changed in a table.
+void onTableChanged(State &state, Fleet::TableKind kind, TimePoint now, Actions &actions);
+
+/// Returns one of the tables.
+KnownTable &tableOf(State &state, Fleet::TableKind kind);
+const KnownTable &tableOf(const State &state, Fleet::TableKind kind);
+
+/// Returns when callStore() has something to do at the latest.
+TimePoint nextStoreCallAt(const State &state);
+
 /// Returns how old the configuration may be at most; nothing before the first one.
 std::optional<Duration> configurationAge(const State &state, TimePoint now);
 
 /// Tells whether the configuration is recent enough for requests of workspaces.
 bool mayServeWorkspaces(const State &state, TimePoint now);
 
+/// Starts a call to the store.
+void startCall(State &state, const RunningCall &running, Store::Call call, Actions &actions);
+
+// Seats
+
+/// Registers this host when it isn't, and as a lead forgets hosts that are gone.
+void tickSeats(State &state, TimePoint now, Actions &actions);
+void onSeatAnswered(State &state, CallPurpose purpose, const Store::Result &result, TimePoint now, Actions &actions);
+
+/// Takes over the registered hosts.
+void takeRoster(State &state, TimePoint now, Actions &actions);
+
 /// Adds a line to the log.
 void log(Actions &actions, Reporting::LogLine line);
 
--- /dev/null
+++ b/include/ragwortrelay/fleet/leadership.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/core/random.h>
+#include <ragwortrelay/core/time.h>
+#include <ragwortrelay/fleet/messages.h>
+#include <ragwortrelay/fleet/seat.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace RagwortRelay::Fleet {
+
+/// How hosts choose a lead and lend it their parts.
+struct LeadershipSettings {
+    Duration m_pulseInterval{std::chrono::milliseconds(1000)}; ///< Between two pulses to a lead that answers.
+    Duration m_answerLimit{std::chrono::milliseconds(100)}; ///< After which an unanswered pulse is sent again.
+    unsigned m_triesAtMost = 3; ///< Pulses in a row without an answer until a host counts as silent.
+    Duration m_silence{std::chrono::milliseconds(2000)}; ///< A silent host is left alone for so long.
+    Duration m_lease{std::chrono::milliseconds(2200)}; ///< For which a pulse lends a part.
+    Duration m_forgetAfter{std::chrono::milliseconds(3500)}; ///< A follower that was not heard of for so long is forgotten.
+    Duration m_helloInterval{std::chrono::milliseconds(1000)}; ///< Between two rounds in which a lead looks for other leads.
+    double m_heldBack = 0.5; ///< Of its part that a host uses while an earlier lead may still use it.
+    std::size_t m_readers = 2; ///< Followers that are asked to follow the store beside the lead.
+    std::size_t m_hellos = 3; ///< Hosts that a lead asks for other leads in one round.
+
+    friend bool operator==(const LeadershipSettings &, const LeadershipSettings &) = default;
+};
+
+/// A host that follows this one.
+struct FollowerSeat {
+    FailureDomainId m_domain;
+    Incarnation m_incarnation = 0;
+    double m_lent = 0.0; ///< Of its part, 0 to 1.
+    TimePoint m_lentUntil; ///< By this host's clock, no later than the follower thinks.
+    TimePoint m_heardAt;
+
+    friend bool operator==(const FollowerSeat &, const FollowerSeat &) = default;
+};
+
+/// What was heard of another host last.
+struct Contact {
+    Duration m_sentAt{}; ///< By the other host's clock.
+    TimePoint m_receivedAt;
+    Incarnation m_incarnation = 0;
+};
+
+/// Who leads, as one host sees it.
+struct Leadership {
+    LeadershipSettings m_settings;
+    HostId m_self;
+    std::vector<HostId> m_ranking;
+    HostId m_lead; ///< This host itself when it leads.
+    unsigned m_unanswered = 0; ///< Pulses to the lead in a row.
+    TimePoint m_nextPulseAt{};
+    std::optional<TimePoint> m_answeredAt; ///< By the present lead.
+    std::map<HostId, TimePoint> m_silentUntil;
+    std::map<HostId, FollowerSeat> m_followers;
+    std::map<HostId, Contact> m_contacts;
+    std::vector<HostId> m_asked; ///< Hosts that are to be asked whom they follow.
+    HostId m_boundTo; ///< Lead that this host's part was lent to last.
+    TimePoint m_boundUntil{};
+    TimePoint m_helloAt{};
+    bool m_isReader = false; ///< The lead asks this host to follow the store.
+};
+
+/// Makes the state of a host that leads itself.
+Leadership makeLeadership(const LeadershipSettings &settings, const HostId &self);
+
+/// Tells whether this host leads. Thread-safe on a state that doesn't change, like all functions that take it as constant.
+bool isLeading(const Leadership &leadership);
+
+/// Takes over the registered hosts. A host that leads nobody then follows the first in rank. Not thread-safe on one state.
+void setRoster(Leadership &leadership, const Roster &roster, TimePoint now);
+
+/// A pulse that is to be sent.
+struct PulseOrder {
+    HostId m_host;
+    bool m_wantsAnswer = true;
+
+    friend bool operator==(const PulseOrder &, const PulseOrder &) = default;
+};
+
+/// Does what is due by time. Returns the pulses to send. Not thread-safe on one state.
+std::vector<PulseOrder> tick(Leadership &leadership, RandomGenerator &random, TimePoint now);
+
+/// Fills in the part of a pulse that is about leadership, and binds this host to its lead. Not thread-safe on one state.
+Pulse makePulse(Leadership &leadership, const PulseOrder &order, TimePoint now);
+
+/// Takes in a pulse. Returns whether it has to be answered at once. Not thread-safe on one state.
+bool takePulse(Leadership &leadership, const HostId &from, Incarnation incarnation, const Pulse &pulse, TimePoint now);
+
+/// Makes the next pulse to the lead due at once: it has left something else unanswered. Not thread-safe on one state.
+void doubtLead(Leadership &leadership, TimePoint now);
+
+/// Returns an instant of this host that is no later than the one at which a pulse was written, if that can be told.
+std::optional<TimePoint> writtenAfter(const Pulse &pulse);
+
+/// Returns the part of all limits that this host may hand out, 0 to 1.
+double shareOf(const Leadership &leadership, TimePoint now);
+
+/// Returns how many followers have lent their part.
+std::size_t followersOf(const Leadership &leadership, TimePoint now);
+
+/// Tells whether a follower is to follow the store too.
+bool isReader(const Leadership &leadership, const HostId &follower);
+
+/// Returns when tick() has to be called at the latest.
+TimePoint nextTickAt(const Leadership &leadership);
+
+}
--- /dev/null
+++ b/include/ragwortrelay/fleet/messages.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include <ragwortrelay/core/identifier.h>
+#include <ragwortrelay/core/time.h>
+#include <ragwortrelay/fleet/seat.h>
+#include <ragwortrelay/scheduling/draw.h>
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+/// What hosts tell one another. Any message may get lost, come late, twice or out of order.
+namespace RagwortRelay::Fleet {
+
+/// Tables of the store that hosts keep one another up to date about.
+enum class TableKind : std::uint8_t {
+    Configuration,
+    Servers,
+    Hosts,
+    Last = Hosts,
+};
+
+inline constexpr std::size_t TableKinds = 3;
+
+/// How far a host knows one table.
+struct TableStand {
+    std::uint64_t m_version = 0; ///< Version of the store up to which it knows the table; 0 for nothing.
+    std::uint64_t m_changed = 0; ///< Version of the last change that it knows.
+    Duration m_age{}; ///< Since the store confirmed this state; meaningless without a version.
+
+    friend bool operator==(const TableStand &, const TableStand &) = default;
+
+    /// Returns the fields in the order of the wire format.
+    static auto fields(auto &self)
+    {
+        return std::tie(self.m_version, self.m_changed, self.m_age);
+    }
+};
+
+/// What speaks against a server, as the lead sees it.
+struct ServerNote {
+    ServerId m_server;
+    FailureDomainId m_domain; ///< From which it was seen.
+    double m_value = 0.0; ///< See Health::Suspicion.
+
+    friend bool operator==(const ServerNote &, const ServerNote &) = default;
+
+    /// Returns the fields in the order of the wire format.
+    static auto fields(auto &self)
+    {
+        return std::tie(self.m_server, self.m_domain, self.m_value);
+    }
+};
+
+/// Heartbeat between a host and the one that it follows, in both directions. A host that names its receiver as its lead lends it the
+/// part that it has of all limits.
+struct Pulse {
+    Duration m_sentAt{}; ///< By the sender's clock.
+    Duration m_echo{}; ///< Of the last pulse that the sender had from the receiver, by the receiver's clock; 0 for none.
+    Duration m_heldFor{}; ///< Since the sender had that pulse.
+    FailureDomainId m_domain; ///< Of the sender.
+    HostId m_lead; ///< That the sender follows; itself when it leads.
+    double m_lent = 0.0; ///< Of the sender's part of all limits, 0 to 1; lent to the lead that it names.
+    std::uint32_t m_followers = 0; ///< Of a sender that leads.
+    bool m_wantsAnswer = false;
+    bool m_reader = false; ///< Of a sender that leads: the receiver is to follow the store too.
+    std::vector<TableStand> m_tables; ///< By TableKind.
+    std::vector<std::uint64_t> m_running; ///< Draws of a sender that follows, whose attempts run.
+    std::vector<ServerNote> m_notes; ///< Of a sender that leads.
+
+    friend bool operator==(const Pulse &, const Pulse &) = default;
+
+    /// Returns the fields in the order of the wire format.
+    static auto fields(auto &self)
+    {
+        return std::tie(self.m_sentAt,
+                        self.m_echo,
+                        self.m_heldFor,
+                        self.m_domain,
+                        self.m_lead,
+                        self.m_lent,
+                        self.m_followers,
+                        self.m_wantsAnswer,
+                        self.m_reader,
+                        self.m_tables,
+                        self.m_running,
+                        self.m_notes);
+    }
+};
+
+/// One part of the changes of a table, which travel compressed in as many parts as they need.
+struct NewsPart {
+    TableKind m_table{};
+    std::uint64_t m_since = 0; ///< Changes after this version; 0 for the whole table.
+    std::uint64_t m_version = 0; ///< Up to which the receiver knows the table with them.
+    std::uint32_t m_index = 0;
+    std::uint32_t m_count = 1;
+    std::string m_bytes;
+
+    friend bool operator==(const NewsPart &, const NewsPart &) = default;
+
+    /// Returns the fields in the order of the wire format.
+    static auto fields(auto &self)
+    {
+        return std::tie(self.m_table, self.m_since, self.m_version, self.m_index, self.m_count, self.m_bytes);
+    }
+};
+
+/// The lead has taken a draw and will answer it later.
+struct DrawQueued {
+    std::uint64_t m_number = 0; ///< Of the draw.
+
+    friend bool operator==(const DrawQueued &, const DrawQueued &) = default;
+
+    /// Returns the fields in the order of the wire format.
+    static auto fields(auto &self)
+    {
+        return std::tie(self.m_number);
+    }
+};
+
+/// A draw is no longer wanted.
+struct DrawWithdrawn {
+    std::uint64_t m_number = 0; ///< Of the draw.
+
+    friend bool operator==(const DrawWithdrawn &, const DrawWithdrawn &) = default;
+
+    /// Returns the fields in the order of the wire format.
+    static auto fields(auto &self)
+    {
+        return std::tie(self.m_number);
+    }
+};
+
+/// The position of a type is its number on the wire: new ones go to the end.
+using Message = std::variant<Pulse, NewsPart, Scheduling::Draw, DrawQueued, Scheduling::DrawAnswer, Scheduling::DrawDone, DrawWithdrawn>;
+
+/// Messages of one host to another that travel together.
+struct Datagram {
+    HostId m_from;
+    Incarnation m_incarnation = 0; ///< Of the sender.
+    std::vector<Message> m_messages;
+
+    friend bool operator==(const Datagram &, const Datagram &) = default;
+};
+
+}
--- /dev/null
+++ b/include/ragwortrelay/fleet/sharedtable.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <ragwortrelay/core/time.h>
+#include <ragwortrelay/fleet/messages.h>
+#include <ragwortrelay/store/follower.h>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace RagwortRelay::Fleet {
+
+/// Changes of a table that are being received in parts.
+struct PartialNews {
+    std::uint64_t m_since = 0;
+    std::uint64_t m_version = 0;
+    std::vector<std::optional<std::string>> m_parts;
+};
+
+/// A table of the store that hosts keep one another up to date about. Rows that were erased stay as such for a while, so that it can
+/// be told which ones went.
+struct SharedTable {
+    std::map<std::string, Store::Row> m_rows; ///< By name.
+    std::uint64_t m_version = 0; ///< Up to which it is known; 0 for nothing.
+    std::uint64_t m_changed = 0; ///< Version of the last change that is known.
+    std::uint64_t m_forgotten = 0; ///< Erased rows up to this version are no longer known.
+    std::optional<TimePoint> m_confirmedAt; ///< The rows are those of the store as of this instant, or of later.
+    PartialNews m_partial;
+};
+
+/// Returns the rows that are there, without the erased ones.
+std::map<std::string, Store::Row> rowsOf(const SharedTable &table);
+
+/// Takes over what a host knows from the store. Returns whether any row has changed. Not thread-safe on one table.
+/// @param outcome of the call that was answered last
+bool takeFromStore(SharedTable &table, const Store::Follower &follower, Store::FollowOutcome outcome);
+
+/// Makes a follower go on from what the table holds. Not thread-safe on one follower.
+void resume(Store::Follower &follower, const SharedTable &table);
+
+/// Returns how far the table is known.
+TableStand standOf(const SharedTable &table, TimePoint now);
+
+/// Takes in that the state of a table which another host has was confirmed at an instant of this host, if it is the state that this
+/// host has too. Not thread-safe on one table.
+void takeConfirmation(SharedTable &table, const TableStand &theirs, TimePoint confirmedAt);
+
+/// Returns the changes that a host lacks, in parts; nothing when it lacks none.
+std::vector<NewsPart> newsFor(const SharedTable &table, TableKind kind, const TableStand &theirs);
+
+/// Takes in a part of changes. Returns whether any row has changed by it. Not thread-safe on one table.
+bool takeNews(SharedTable &table, const NewsPart &part);
+
+}
--- a/include/ragwortrelay/host/action.h
+++ b/include/ragwortrelay/host/action.h
@@ -61,6 +61,21 @@
     friend bool operator==(const CallStore &, const CallStore &) = default;
 };
 
+/// Sends messages to another host. They may get lost.
+struct SendPeer {
+    std::string m_address; ///< `IP:PORT`
+    Fleet::Datagram m_datagram;
+
+    friend bool operator==(const SendPeer &, const SendPeer &) = default;
+};
+
+/// Sets the secret by which hosts of the fleet know one another's messages.
+struct SetPeerSecret {
+    std::string m_secret; ///< Bytes.
+
+    friend bool operator==(const SetPeerSecret &, const SetPeerSecret &) = default;
+};
+
 /// Closes the idle connections to a server, which is gone or another one now.
 struct DropConnections {
     ServerId m_server;
@@ -99,8 +114,19 @@
     friend bool operator==(const Exit &, const Exit &) = default;
 };
 
-using Action = std::
-    variant<StartAttempt, CancelAttempt, ForwardAnswer, AnswerProblem, CallStore, DropConnections, SetReadiness, SetCallerLimits, SendCallersAway, Log, Exit>;
+using Action = std::variant<StartAttempt,
+                            CancelAttempt,
+                            ForwardAnswer,
+                            AnswerProblem,
+                            CallStore,
+                            SendPeer,
+                            SetPeerSecret,
+                            DropConnections,
+                            SetReadiness,
+                            SetCallerLimits,
+                            SendCallersAway,
+                            Log,
+                            Exit>;
 
 using Actions = std::vector<Action>;
 
--- a/include/ragwortrelay/host/event.h
+++ b/include/ragwortrelay/host/event.h
@@ -2,6 +2,7 @@
 
 #include <ragwortrelay/core/identifier.h>
 #include <ragwortrelay/dispatch/outcome.h>
+#include <ragwortrelay/fleet/messages.h>
 #include <ragwortrelay/http/dialect.h>
 #include <ragwortrelay/store/store.h>
 
@@ -81,6 +82,14 @@
     friend bool operator==(const StoreAnswered &, const StoreAnswered &) = default;
 };
 
+/// Messages of another host arrived. The socket has checked that the sender belongs to the fleet.
+struct PeerSpoke {
+    std::string m_address; ///< `IP:PORT` of the sender.
+    Fleet::Datagram m_datagram;
+
+    friend bool operator==(const PeerSpoke &, const PeerSpoke &) = default;
+};
+
 /// The process was told to stop.
 struct StopAsked {
     friend bool operator==(const StopAsked &, const StopAsked &) = default;
@@ -91,6 +100,6 @@
     friend bool operator==(const Ticked &, const Ticked &) = default;
 };
 
-using Event = std::variant<RequestArrived, CallerGone, AttemptAnswered, AttemptFailed, AttemptEnded, ServerCloses, StoreAnswered, StopAsked, Ticked>;
+using Event = std::variant<RequestArrived, CallerGone, AttemptAnswered, AttemptFailed, AttemptEnded, ServerCloses, StoreAnswered, PeerSpoke, StopAsked, Ticked>;
 
 }
--- a/include/ragwortrelay/host/source.h
+++ b/include/ragwortrelay/host/source.h
@@ -20,6 +20,7 @@
 struct Source {
     std::string m_configurationTable;
     std::string m_serverTable; ///< May be the same table.
+    std::string m_hostTable = "ragwortrelay-hosts"; ///< Where hosts register.
     /// Reads the catalogue; an error leaves the one in force.
     tl::expected<Configuration::Catalogue, Error> (*m_readCatalogue)(const Rows &rows) = nullptr;
     /// Reads the servers; an entry that can't be read is left out and reported.
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -3,6 +3,8 @@
 #include <ragwortrelay/configuration/catalogue.h>
 #include <ragwortrelay/core/random.h>
 #include <ragwortrelay/core/time.h>
+#include <ragwortrelay/fleet/leadership.h>
+#include <ragwortrelay/fleet/sharedtable.h>
 #include <ragwortrelay/host/action.h>
 #include <ragwortrelay/host/event.h>
 #include <ragwortrelay/host/source.h>
@@ -10,6 +12,7 @@
 #include <ragwortrelay/scheduling/scheduler.h>
 #include <ragwortrelay/store/follower.h>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -20,18 +23,43 @@
 
 namespace RagwortRelay::Host {
 
+/// How a host asks its lead for servers.
+struct DrawSettings {
+    Duration m_resendAfter{std::chrono::milliseconds(15)}; ///< A draw that the lead has not answered is sent once more.
+    Duration m_decideAfter{std::chrono::milliseconds(40)}; ///< Then the host decides by itself.
+    Duration m_askInterval{std::chrono::milliseconds(150)}; ///< Between two questions about a draw that waits at the lead.
+
+    friend bool operator==(const DrawSettings &, const DrawSettings &) = default;
+};
+
+/// How old tables may be.
+struct FreshnessSettings {
+    Duration m_keys{std::chrono::milliseconds(4700)}; ///< Requests of workspaces run only with a configuration no older than this.
+    Duration m_denial{std::chrono::milliseconds(1900)}; ///< Only so fresh a configuration tells that a key or route isn't there.
+    Duration m_stale{std::chrono::milliseconds(2300)}; ///< A host whose configuration is older asks the store itself.
+    Duration m_staleServers{std::chrono::milliseconds(4500)}; ///< The same for the servers and the hosts.
+    Duration m_staleSpread{std::chrono::milliseconds(1200)}; ///< Hosts start to ask within this time, so that not all ask at once.
+    Duration m_worthTelling{std::chrono::milliseconds(900)}; ///< A confirmation that is newer by this is told at once.
+
+    friend bool operator==(const FreshnessSettings &, const FreshnessSettings &) = default;
+};
+
 /// How a host behaves.
 struct HostSettings {
     HostId m_host;
     FailureDomainId m_domain;
-    Duration m_keyFreshness{std::chrono::milliseconds(4500)}; ///< Requests of workspaces run only with a configuration no older than this.
-    Duration m_refusalFreshness{std::chrono::milliseconds(1500)}; ///< Only so fresh a configuration tells that a key or route isn't there.
+    std::string m_peerAddress; ///< `IP:PORT`; empty for a host that works alone.
+    double m_capacity = 1.0; ///< Of its processor, relative to other hosts.
+    FreshnessSettings m_freshness;
+    DrawSettings m_draws;
+    Fleet::LeadershipSettings m_leadership;
     Duration m_answerGrace{std::chrono::milliseconds(60)}; ///< After its deadline an answer that is on its way is still waited for.
     Duration m_balancerLag{std::chrono::milliseconds(2500)}; ///< A stopping host goes on serving for so long.
     Duration m_stopLimit{std::chrono::milliseconds(5500)}; ///< Longest wait of a stopping host for requests in flight.
     std::uint32_t m_unsentAtMost = 4; ///< Attempts of one request that reached no server.
     Scheduling::SchedulerSettings m_scheduling;
-    Store::FollowerSettings m_following;
+    std::chrono::milliseconds m_configurationWait{900}; ///< Of one call that follows the configuration.
+    std::chrono::milliseconds m_tableWait{2000}; ///< Of one call that follows another table.
 
     friend bool operator==(const HostSettings &, const HostSettings &) = default;
 };
@@ -40,6 +68,7 @@
 struct Attempt {
     ExchangeId m_exchange = 0; ///< 0 once nobody waits for it.
     std::uint64_t m_draw = 0; ///< Number of the draw that it has its server from.
+    HostId m_lead; ///< That granted the draw; empty when this host did by itself.
     ServerId m_server;
     TimePoint m_startedAt;
     bool m_isForwarded = false; ///< The caller gets its answer.
@@ -70,22 +99,49 @@
 enum class DueKind : std::uint8_t {
     Deadline, ///< Of an exchange.
     Hedge, ///< Of an exchange.
+    Draw, ///< The lead has not answered a draw.
 };
 
 struct Due {
     DueKind m_kind{};
-    ExchangeId m_exchange = 0;
+    std::uint64_t m_subject = 0; ///< Number of the exchange or draw.
 };
 
-/// What an attempt that runs is told apart by in the answers of the scheduler.
+/// A draw that waits for its answer.
 struct PendingDraw {
     ExchangeId m_exchange = 0;
+    Scheduling::Draw m_draw;
+    HostId m_lead; ///< That was asked; empty when it waits in the queue of this host.
+    TimePoint m_sentAt;
+    unsigned m_unanswered = 0; ///< Times that it was sent since the lead was heard about it.
+    bool m_isQueued = false; ///< The lead has said that it will answer later.
 };
 
 /// Purpose of a call to the store.
 enum class CallPurpose : std::uint8_t {
-    FollowConfiguration,
-    FollowServers,
+    Follow, ///< A table.
+    Register, ///< This host's seat.
+    Unregister, ///< The seat of a host that is gone.
+};
+
+/// A call to the store that runs.
+struct RunningCall {
+    CallPurpose m_purpose{};
+    Fleet::TableKind m_table{};
+};
+
+/// One of the tables that a host keeps up to date.
+struct KnownTable {
+    Fleet::SharedTable m_shared;
+    Store::Follower m_follower;
+    bool m_isRead = false; ///< This host follows it in the store at present.
+    Duration m_leadAge{}; ///< How old the lead said its state is.
+};
+
+/// What a host has registered about itself.
+struct Registration {
+    bool m_isRunning = false;
+    TimePoint m_nextAt{}; ///< No call before.
 };
 
 /// State of one host. The present time and all input reach it as arguments of handle().
@@ -93,16 +149,25 @@
     HostSettings m_settings;
     Source m_source;
     RandomGenerator m_random;
+    Fleet::Incarnation m_incarnation = 0;
     Store::ClockMap m_storeClock;
-    Store::Follower m_configurationFollower;
-    Store::Follower m_serverFollower;
+    std::array<KnownTable, Fleet::TableKinds> m_tables; ///< By TableKind.
     std::shared_ptr<const Configuration::Catalogue> m_catalogue; ///< Empty before the first one.
+    Fleet::Roster m_roster;
+    Fleet::Leadership m_leadership;
+    std::map<HostId, std::vector<Fleet::TableStand>> m_stands; ///< How far followers know the tables.
+    std::string m_secret; ///< Of the fleet.
+    Registration m_registration;
+    TimePoint m_leadsSince{}; ///< Since when this host leads.
+    TimePoint m_unregisterAt{}; ///< Next look at seats of hosts that are gone.
+    Duration m_staleDelay{}; ///< Drawn at random, of FreshnessSettings::m_staleSpread.
     Scheduling::Scheduler m_scheduler;
     std::unordered_map<ExchangeId, Exchange> m_exchanges;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::unordered_map<std::uint64_t, PendingDraw> m_draws; ///< Draws that wait for their answers, by number.
     std::multimap<TimePoint, Due> m_due;
-    std::map<StoreCallId, CallPurpose> m_calls;
+    std::map<StoreCallId, RunningCall> m_calls;
+    std::map<std::string, std::vector<Fleet::Message>> m_outbox; ///< By address; sent at the end of handle().
     Reporting::Counters m_counters;
     AttemptId m_lastAttempt = 0;
     std::uint64_t m_lastDraw = 0;
@@ -114,8 +179,9 @@
 };
 
 /// Makes the state of a host that has just started.
+/// @param incarnation another one than that of any other life of the host
 /// @param seed of the random numbers
-State makeState(const HostSettings &settings, const Source &source, std::uint64_t seed);
+State makeState(const HostSettings &settings, const Source &source, Fleet::Incarnation incarnation, std::uint64_t seed);
 
 /// Takes in one event and returns what to do, in order.
 /// Precondition: `now` doesn't run backwards over the calls on one state. Not thread-safe on one state.
--- a/include/ragwortrelay/scheduling/draw.h
+++ b/include/ragwortrelay/scheduling/draw.h
@@ -82,6 +82,7 @@
 struct DrawAnswer {
     std::uint64_t m_number = 0; ///< Of the draw.
     std::optional<ServerId> m_server; ///< To use; empty for a refusal.
+    std::string m_address; ///< Of the server, `IP:PORT`.
     RefusalReason m_reason{}; ///< Of a refusal.
     Duration m_retryAfter{}; ///< Of a refusal: when the same draw is likely to succeed.
 
@@ -90,7 +91,7 @@
     /// Returns the fields in the order of the wire format.
     static auto fields(auto &self)
     {
-        return std::tie(self.m_number, self.m_server, self.m_reason, self.m_retryAfter);
+        return std::tie(self.m_number, self.m_server, self.m_address, self.m_reason, self.m_retryAfter);
     }
 };
 
--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -88,6 +88,12 @@
 /// Forgets a draw that waits, or one that was granted and not used.
 void withdraw(Scheduler &scheduler, const DrawId &id);
 
+/// Tells whether a draw waits. Linear in the draws that wait.
+bool isQueued(const Scheduler &scheduler, const DrawId &id);
+
+/// Forgets what was granted to a host before some time and doesn't run there.
+void reconcile(Scheduler &scheduler, const HostId &host, const std::vector<std::uint64_t> &running, TimePoint startedBefore);
+
 /// Takes in that the attempt of a draw has ended.
 void finish(Scheduler &scheduler, const DrawDone &done, const Asker &asker, TimePoint now);
 
--- a/include/ragwortrelay/settings/relaysettings.h
+++ b/include/ragwortrelay/settings/relaysettings.h
@@ -43,6 +43,13 @@
     friend bool operator==(const RetrySettings &, const RetrySettings &) = default;
 };
 
+/// How other hosts reach this one.
+struct PeerEndpoint {
+    std::string m_listen; ///< `IP:PORT` of the datagram socket; empty for a host that works alone.
+
+    friend bool operator==(const PeerEndpoint &, const PeerEndpoint &) = default;
+};
+
 /// All settings of a host.
 struct RelaySettings {
     HostSettings m_host;
@@ -51,6 +58,8 @@
     EndpointSettings m_readiness;
     EndpointSettings m_metrics;
     StoreSettings m_store;
+    PeerEndpoint m_peers;
+    double m_capacity = 1.0; ///< Of this host's processor, relative to other hosts.
     OriginSettings m_configuration;
     RetrySettings m_retries;
     double m_floor = 0.7; ///< Share of a service's usable servers that is never avoided.
--- a/src/cli/relaycommand.cpp
+++ b/src/cli/relaycommand.cpp
@@ -30,7 +30,9 @@
     Host::HostSettings host;
     host.m_host = settings.m_host.m_name;
     host.m_domain = settings.m_host.m_domain;
-    host.m_keyFreshness = settings.m_configuration.m_revocationLimit - RevocationMargin;
+    host.m_peerAddress = settings.m_peers.m_listen;
+    host.m_capacity = settings.m_capacity;
+    host.m_freshness.m_keys = settings.m_configuration.m_revocationLimit - RevocationMargin;
     host.m_balancerLag = settings.m_stop.m_balancerLag;
     host.m_stopLimit = settings.m_stop.m_limit;
     host.m_scheduling.m_retries.m_ratio = settings.m_retries.m_ratio;
--- /dev/null
+++ b/src/fleet/leadership.cpp
@@ -0,0 +1,314 @@
+#include <ragwortrelay/fleet/leadership.h>
+
+#include <algorithm>
+
+namespace RagwortRelay::Fleet {
+
+namespace {
+
+std::size_t rankOf(const Leadership &leadership, const HostId &host)
+{
+    return static_cast<std::size_t>(std::ranges::find(leadership.m_ranking, host) - leadership.m_ranking.begin());
+}
+
+bool isKnown(const Leadership &leadership, const HostId &host)
+{
+    return rankOf(leadership, host) < leadership.m_ranking.size();
+}
+
+bool isSilent(const Leadership &leadership, const HostId &host, TimePoint now)
+{
+    const auto silent = leadership.m_silentUntil.find(host);
+    return silent != leadership.m_silentUntil.end() && now < silent->second;
+}
+
+void follow(Leadership &leadership, const HostId &lead, TimePoint now)
+{
+    if (leadership.m_lead == lead) {
+        return;
+    }
+    leadership.m_lead = lead;
+    leadership.m_followers.clear();
+    leadership.m_unanswered = 0;
+    leadership.m_answeredAt.reset();
+    leadership.m_isReader = false;
+    leadership.m_nextPulseAt = now;
+    leadership.m_helloAt = now;
+}
+
+/// Follows the first host in rank that isn't silent, which may be this one.
+void followFirst(Leadership &leadership, TimePoint now)
+{
+    for (const HostId &host : leadership.m_ranking) {
+        if (host == leadership.m_self || !isSilent(leadership, host, now)) {
+            return follow(leadership, host, now);
+        }
+    }
+    follow(leadership, leadership.m_self, now);
+}
+
+/// Part of this host's part that it may use or lend: all of it unless an earlier lead may still use it.
+double freePart(const Leadership &leadership, const HostId &lead, TimePoint now)
+{
+    const bool isBoundElsewhere = leadership.m_boundTo != lead && now < leadership.m_boundUntil;
+    return isBoundElsewhere ? leadership.m_settings.m_heldBack : 1.0;
+}
+
+void release(Leadership &leadership, const HostId &lead)
+{
+    if (leadership.m_boundTo == lead) {
+        leadership.m_boundUntil = TimePoint{};
+    }
+}
+
+/// Tells whether another lead goes before this one: it has more followers, or as many and a better rank.
+bool isBetterLead(const Leadership &leadership, const HostId &other, std::uint32_t followers, TimePoint now)
+{
+    const std::size_t own = followersOf(leadership, now);
+    return followers != own ? followers > own : rankOf(leadership, other) < rankOf(leadership, leadership.m_self);
+}
+
+void takeFollower(Leadership &leadership, const HostId &from, Incarnation incarnation, const Pulse &pulse, TimePoint now)
+{
+    FollowerSeat &seat = leadership.m_followers[from];
+    if (seat.m_incarnation != incarnation) {
+        seat = {};
+        seat.m_incarnation = incarnation;
+    }
+    seat.m_domain = pulse.m_domain;
+    seat.m_heardAt = now;
+    const auto writtenAt = writtenAfter(pulse);
+    if (writtenAt) {
+        seat.m_lent = pulse.m_lent;
+        seat.m_lentUntil = std::max(seat.m_lentUntil, *writtenAt + leadership.m_settings.m_lease);
+    }
+}
+
+void ask(Leadership &leadership, const HostId &host, TimePoint now)
+{
+    const bool isAsked = std::ranges::find(leadership.m_asked, host) != leadership.m_asked.end();
+    if (!isAsked && host != leadership.m_self && isKnown(leadership, host) && !isSilent(leadership, host, now)) {
+        leadership.m_asked.push_back(host);
+    }
+}
+
+void takeFromLead(Leadership &leadership, const HostId &lead, const Pulse &pulse, TimePoint now)
+{
+    leadership.m_unanswered = 0;
+    leadership.m_answeredAt = now;
+    leadership.m_nextPulseAt = now + leadership.m_settings.m_pulseInterval;
+    leadership.m_isReader = pulse.m_reader;
+    if (pulse.m_lead == lead) {
+        return;
+    }
+    release(leadership, lead); // It doesn't lead, so it uses no part but its own.
+    if (pulse.m_lead == leadership.m_self || !isKnown(leadership, pulse.m_lead) || isSilent(leadership, pulse.m_lead, now)) {
+        return follow(leadership, leadership.m_self, now);
+    }
+    follow(leadership, pulse.m_lead, now);
+}
+
+/// As a lead: meets another lead, or one that follows another lead.
+void meet(Leadership &leadership, const HostId &from, const Pulse &pulse, TimePoint now)
+{
+    if (pulse.m_lead != from) {
+        return ask(leadership, pulse.m_lead, now);
+    }
+    if (isKnown(leadership, from) && isBetterLead(leadership, from, pulse.m_followers, now)) {
+        follow(leadership, from, now);
+    }
+}
+
+void sayHello(Leadership &leadership, RandomGenerator &random, TimePoint now)
+{
+    leadership.m_helloAt = now + leadership.m_settings.m_helloInterval;
+    std::vector<HostId> others;
+    for (const HostId &host : leadership.m_ranking) {
+        if (host != leadership.m_self && !leadership.m_followers.contains(host)) {
+            others.push_back(host);
+        }
+    }
+    const std::size_t first = std::min(others.size(), leadership.m_settings.m_hellos - 1);
+    for (std::size_t i = 0; i < first; ++i) {
+        ask(leadership, others[i], now);
+    }
+    if (others.size() > first) {
+        ask(leadership, others[first + drawBelow(random, others.size() - first)], now);
+    }
+}
+
+std::vector<PulseOrder> tickFollowing(Leadership &leadership, TimePoint now)
+{
+    if (now < leadership.m_nextPulseAt) {
+        return {};
+    }
+    if (leadership.m_unanswered >= leadership.m_settings.m_triesAtMost) {
+        leadership.m_silentUntil[leadership.m_lead] = now + leadership.m_settings.m_silence;
+        followFirst(leadership, now);
+        if (isLeading(leadership)) {
+            return {};
+        }
+    }
+    ++leadership.m_unanswered;
+    leadership.m_nextPulseAt = now + leadership.m_settings.m_answerLimit;
+    return {{leadership.m_lead, true}};
+}
+
+}
+
+Leadership makeLeadership(const LeadershipSettings &settings, const HostId &self)
+{
+    Leadership leadership;
+    leadership.m_settings = settings;
+    leadership.m_self = self;
+    leadership.m_lead = self;
+    leadership.m_ranking = {self};
+    return leadership;
+}
+
+bool isLeading(const Leadership &leadership)
+{
+    return leadership.m_lead == leadership.m_self;
+}
+
+void setRoster(Leadership &leadership, const Roster &roster, TimePoint now)
+{
+    Roster all = roster;
+    all.try_emplace(leadership.m_self);
+    leadership.m_ranking = ranking(all);
+    const bool isAlone = isLeading(leadership) && leadership.m_followers.empty();
+    if (isAlone || !isKnown(leadership, leadership.m_lead)) {
+        followFirst(leadership, now);
+    }
+}
+
+std::vector<PulseOrder> tick(Leadership &leadership, RandomGenerator &random, TimePoint now)
+{
+    std::erase_if(leadership.m_silentUntil, [&](const auto &entry) { return entry.second <= now; });
+    if (!isLeading(leadership)) {
+        leadership.m_asked.clear();
+        return tickFollowing(leadership, now);
+    }
+    std::erase_if(leadership.m_followers, [&](const auto &entry) { return now - entry.second.m_heardAt > leadership.m_settings.m_forgetAfter; });
+    if (now >= leadership.m_helloAt) {
+        sayHello(leadership, random, now);
+    }
+    std::vector<PulseOrder> orders;
+    for (const HostId &host : std::exchange(leadership.m_asked, {})) {
+        orders.push_back({host, true});
+    }
+    return orders;
+}
+
+Pulse makePulse(Leadership &leadership, const PulseOrder &order, TimePoint now)
+{
+    Pulse pulse;
+    pulse.m_sentAt = now.time_since_epoch();
+    const auto contact = leadership.m_contacts.find(order.m_host);
+    if (contact != leadership.m_contacts.end()) {
+        pulse.m_echo = contact->second.m_sentAt;
+        pulse.m_heldFor = now - contact->second.m_receivedAt;
+    }
+    pulse.m_lead = leadership.m_lead;
+    pulse.m_wantsAnswer = order.m_wantsAnswer;
+    pulse.m_followers = static_cast<std::uint32_t>(followersOf(leadership, now));
+    if (order.m_host == leadership.m_lead) {
+        pulse.m_lent = freePart(leadership, leadership.m_lead, now);
+        if (pulse.m_lent == 1.0) {
+            leadership.m_boundTo = leadership.m_lead;
+            leadership.m_boundUntil = now + leadership.m_settings.m_lease;
+        }
+    }
+    return pulse;
+}
+
+bool takePulse(Leadership &leadership, const HostId &from, Incarnation incarnation, const Pulse &pulse, TimePoint now)
+{
+    Contact &contact = leadership.m_contacts[from];
+    if (contact.m_incarnation != incarnation) {
+        contact = {};
+        contact.m_incarnation = incarnation;
+        release(leadership, from); // Its earlier process has ended.
+    }
+    if (pulse.m_sentAt > contact.m_sentAt) {
+        contact.m_sentAt = pulse.m_sentAt;
+        contact.m_receivedAt = now;
+    }
+    leadership.m_silentUntil.erase(from);
+    const bool isFirst = !isLeading(leadership) && from == leadership.m_lead && !leadership.m_answeredAt;
+    if (pulse.m_lead == leadership.m_self) {
+        takeFollower(leadership, from, incarnation, pulse, now);
+    } else {
+        leadership.m_followers.erase(from);
+    }
+    if (from == leadership.m_lead && !isLeading(leadership)) {
+        takeFromLead(leadership, from, pulse, now);
+        if (isFirst && leadership.m_lead == from) {
+            leadership.m_nextPulseAt = now; // The first answer makes it possible to lend the part.
+        }
+    } else if (isLeading(leadership) && pulse.m_lead != leadership.m_self) {
+        meet(leadership, from, pulse, now);
+    }
+    return pulse.m_wantsAnswer;
+}
+
+void doubtLead(Leadership &leadership, TimePoint now)
+{
+    if (!isLeading(leadership) && leadership.m_unanswered == 0) {
+        leadership.m_nextPulseAt = std::min(leadership.m_nextPulseAt, now);
+    }
+}
+
+std::optional<TimePoint> writtenAfter(const Pulse &pulse)
+{
+    return pulse.m_echo.count() == 0 ? std::nullopt : std::optional(TimePoint(pulse.m_echo + pulse.m_heldFor));
+}
+
+double shareOf(const Leadership &leadership, TimePoint now)
+{
+    const double hosts = static_cast<double>(std::max<std::size_t>(1, leadership.m_ranking.size()));
+    if (!isLeading(leadership)) {
+        const bool isLent = now < leadership.m_boundUntil;
+        return (isLent ? leadership.m_settings.m_heldBack : 1.0) / hosts;
+    }
+    double parts = freePart(leadership, leadership.m_self, now);
+    for (const auto &[host, seat] : leadership.m_followers) {
+        parts += now < seat.m_lentUntil ? seat.m_lent : 0.0;
+    }
+    return std::min(1.0, parts / hosts);
+}
+
+std::size_t followersOf(const Leadership &leadership, TimePoint now)
+{
+    if (!isLeading(leadership)) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(leadership.m_followers, [&](const auto &entry) { return now < entry.second.m_lentUntil; }));
+}
+
+bool isReader(const Leadership &leadership, const HostId &follower)
+{
+    std::size_t readers = 0;
+    for (const HostId &host : leadership.m_ranking) {
+        if (readers == leadership.m_settings.m_readers) {
+            return false;
+        }
+        if (leadership.m_followers.contains(host)) {
+            ++readers;
+            if (host == follower) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+TimePoint nextTickAt(const Leadership &leadership)
+{
+    if (!isLeading(leadership)) {
+        return leadership.m_nextPulseAt;
+    }
+    return leadership.m_asked.empty() ? leadership.m_helloAt : TimePoint{};
+}
+
+}
--- /dev/null
+++ b/src/fleet/sharedtable.cpp
@@ -0,0 +1,280 @@
+#include <ragwortrelay/fleet/sharedtable.h>
+
+#include <nlohmann/json.hpp>
+#include <zlib.h>
+
+#include <algorithm>
+
+namespace RagwortRelay::Fleet {
+
+namespace {
+
+/// Bytes of one part; with the rest of the datagram below what passes any network in one piece.
+constexpr std::size_t PartBytes = 1100;
+
+/// Bytes of one table's changes when they are unpacked; more are read from the store.
+constexpr std::size_t MostNewsBytes = 4U << 20U;
+
+/// Erased rows that are remembered.
+constexpr std::size_t MostErased = 512;
+
+std::string compressed(const std::string &bytes)
+{
+    uLongf size = compressBound(bytes.size());
+    std::string result(size, '\0');
+    const auto *input = reinterpret_cast<const Bytef *>(bytes.data());
+    compress2(reinterpret_cast<Bytef *>(result.data()), &size, input, bytes.size(), Z_BEST_SPEED);
+    result.resize(size);
+    return result;
+}
+
+std::optional<std::string> decompressed(const std::string &bytes, std::size_t size)
+{
+    std::string result(size, '\0');
+    uLongf written = size;
+    const auto *input = reinterpret_cast<const Bytef *>(bytes.data());
+    const int code = uncompress(reinterpret_cast<Bytef *>(result.data()), &written, input, bytes.size());
+    return code == Z_OK && written == size ? std::optional(result) : std::nullopt;
+}
+
+/// Rows of a table on their way to another host: name, version, value; an erased one has no value.
+std::string packRows(const std::vector<Store::Row> &rows)
+{
+    auto list = nlohmann::json::array();
+    for (const Store::Row &row : rows) {
+        auto entry = nlohmann::json::array({row.m_key.m_name, row.m_version});
+        if (!row.m_erased) {
+            entry.push_back(nlohmann::json::binary({row.m_value.begin(), row.m_value.end()}));
+        }
+        list.push_back(std::move(entry));
+    }
+    const auto bytes = nlohmann::json::to_msgpack(list);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::vector<Store::Row> unpackRows(const std::string &bytes)
+{
+    std::vector<Store::Row> rows;
+    for (const auto &entry : nlohmann::json::from_msgpack(bytes)) {
+        Store::Row row;
+        row.m_key.m_name = entry.at(0).get<std::string>();
+        row.m_version = entry.at(1).get<std::uint64_t>();
+        row.m_erased = entry.size() < 3;
+        if (!row.m_erased) {
+            const auto &value = entry.at(2).get_binary();
+            row.m_value.assign(value.begin(), value.end());
+        }
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+/// Takes in one row; an older one changes nothing.
+bool takeRow(SharedTable &table, const Store::Row &row)
+{
+    Store::Row &known = table.m_rows[row.m_key.m_name];
+    if (known.m_version >= row.m_version) {
+        return false;
+    }
+    known = row;
+    table.m_changed = std::max(table.m_changed, row.m_version);
+    return true;
+}
+
+/// Marks the rows as erased that a whole table doesn't have.
+bool eraseOthers(SharedTable &table, const std::map<std::string, Store::Row> &whole, std::uint64_t version)
+{
+    bool changed = false;
+    for (auto &[name, row] : table.m_rows) {
+        if (!row.m_erased && !whole.contains(name) && row.m_version <= version) {
+            row.m_erased = true;
+            row.m_value.clear();
+            row.m_version = version;
+            table.m_changed = std::max(table.m_changed, version);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+void forgetErased(SharedTable &table)
+{
+    std::vector<std::uint64_t> versions;
+    for (const auto &[name, row] : table.m_rows) {
+        if (row.m_erased) {
+            versions.push_back(row.m_version);
+        }
+    }
+    if (versions.size() <= MostErased) {
+        return;
+    }
+    std::ranges::sort(versions);
+    table.m_forgotten = versions[versions.size() - MostErased / 2];
+    std::erase_if(table.m_rows, [&](const auto &entry) { return entry.second.m_erased && entry.second.m_version <= table.m_forgotten; });
+}
+
+std::optional<std::string> joined(const PartialNews &partial)
+{
+    std::string bytes;
+    for (const auto &part : partial.m_parts) {
+        if (!part) {
+            return std::nullopt;
+        }
+        bytes += *part;
+    }
+    return bytes;
+}
+
+/// Returns the rows in a complete set of parts; the first four bytes tell the size of the rest when unpacked.
+std::optional<std::vector<Store::Row>> rowsIn(const std::string &bytes)
+{
+    constexpr std::size_t SizeBytes = 4;
+    constexpr unsigned BitsPerByte = 8;
+    if (bytes.size() < SizeBytes) {
+        return std::nullopt;
+    }
+    std::size_t size = 0;
+    for (std::size_t i = 0; i < SizeBytes; ++i) {
+        size = (size << BitsPerByte) | static_cast<unsigned char>(bytes[i]);
+    }
+    const auto plain = size <= MostNewsBytes ? decompressed(bytes.substr(SizeBytes), size) : std::nullopt;
+    if (!plain) {
+        return std::nullopt;
+    }
+    try {
+        return unpackRows(*plain);
+    } catch (const std::exception &) {
+        return std::nullopt; // Not what a host of this release sends.
+    }
+}
+
+std::string withSize(const std::string &plain)
+{
+    constexpr unsigned BitsPerByte = 8;
+    std::string bytes;
+    for (const unsigned shift : {3U, 2U, 1U, 0U}) {
+        bytes += static_cast<char>((plain.size() >> (shift * BitsPerByte)) & 0xFFU);
+    }
+    return bytes + compressed(plain);
+}
+
+}
+
+std::map<std::string, Store::Row> rowsOf(const SharedTable &table)
+{
+    std::map<std::string, Store::Row> rows;
+    for (const auto &[name, row] : table.m_rows) {
+        if (!row.m_erased) {
+            rows.emplace_hint(rows.end(), name, row);
+        }
+    }
+    return rows;
+}
+
+bool takeFromStore(SharedTable &table, const Store::Follower &follower, Store::FollowOutcome outcome)
+{
+    const bool isOld = follower.m_mustRead || follower.m_version < table.m_version; // Another host told of newer changes meanwhile.
+    if (isOld || outcome == Store::FollowOutcome::Failed) {
+        return false;
+    }
+    bool changed = false;
+    if (outcome == Store::FollowOutcome::Changed) {
+        for (const auto &[name, row] : follower.m_rows) {
+            changed = takeRow(table, row) || changed;
+        }
+        changed = eraseOthers(table, follower.m_rows, follower.m_version) || changed;
+    }
+    table.m_version = follower.m_version;
+    if (follower.m_confirmedAt) {
+        table.m_confirmedAt = std::max(table.m_confirmedAt.value_or(*follower.m_confirmedAt), *follower.m_confirmedAt);
+    }
+    forgetErased(table);
+    return changed;
+}
+
+void resume(Store::Follower &follower, const SharedTable &table)
+{
+    if (follower.m_isRunning || table.m_version <= follower.m_version) {
+        return;
+    }
+    follower.m_rows = rowsOf(table);
+    follower.m_version = table.m_version;
+    follower.m_mustRead = false;
+    follower.m_reading.clear();
+}
+
+TableStand standOf(const SharedTable &table, TimePoint now)
+{
+    return {table.m_version, table.m_changed, table.m_confirmedAt ? now - *table.m_confirmedAt : Duration(0)};
+}
+
+void takeConfirmation(SharedTable &table, const TableStand &theirs, TimePoint confirmedAt)
+{
+    const bool isSameState = theirs.m_version > 0 && table.m_version >= theirs.m_changed && table.m_version > 0;
+    if (!isSameState) {
+        return;
+    }
+    table.m_version = std::max(table.m_version, theirs.m_version);
+    table.m_confirmedAt = std::max(table.m_confirmedAt.value_or(confirmedAt), confirmedAt);
+}
+
+std::vector<NewsPart> newsFor(const SharedTable &table, TableKind kind, const TableStand &theirs)
+{
+    if (table.m_version == 0 || theirs.m_version >= table.m_changed) {
+        return {};
+    }
+    const std::uint64_t since = theirs.m_version < table.m_forgotten ? 0 : theirs.m_version;
+    std::vector<Store::Row> rows;
+    for (const auto &[name, row] : table.m_rows) {
+        const bool isNews = row.m_version > since && !(row.m_erased && since == 0);
+        if (isNews) {
+            rows.push_back(row);
+        }
+    }
+    const std::string plain = packRows(rows);
+    if (plain.size() > MostNewsBytes) {
+        return {};
+    }
+    const std::string bytes = withSize(plain);
+    const std::size_t count = (bytes.size() + PartBytes - 1) / PartBytes;
+    std::vector<NewsPart> parts;
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::string piece = bytes.substr(i * PartBytes, PartBytes);
+        parts.push_back({kind, since, table.m_version, static_cast<std::uint32_t>(i), static_cast<std::uint32_t>(count), piece});
+    }
+    return parts;
+}
+
+bool takeNews(SharedTable &table, const NewsPart &part)
+{
+    const bool follows = part.m_since == 0 || part.m_since <= table.m_version;
+    if (part.m_version <= table.m_version || !follows || part.m_index >= part.m_count) {
+        return false;
+    }
+    PartialNews &partial = table.m_partial;
+    const bool isOther = partial.m_since != part.m_since || partial.m_version != part.m_version || partial.m_parts.size() != part.m_count;
+    if (isOther) {
+        partial = {part.m_since, part.m_version, std::vector<std::optional<std::string>>(part.m_count)};
+    }
+    partial.m_parts[part.m_index] = part.m_bytes;
+    const auto bytes = joined(partial);
+    const auto rows = bytes ? rowsIn(*bytes) : std::nullopt;
+    if (!rows) {
+        return false;
+    }
+    partial = {};
+    bool changed = false;
+    std::map<std::string, Store::Row> whole;
+    for (const Store::Row &row : *rows) {
+        changed = takeRow(table, row) || changed;
+        whole.emplace(row.m_key.m_name, row);
+    }
+    if (part.m_since == 0) {
+        changed = eraseOthers(table, whole, part.m_version) || changed;
+    }
+    table.m_version = part.m_version;
+    forgetErased(table);
+    return changed;
+}
+
+}
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -25,29 +25,6 @@
 constexpr std::uint16_t HttpServiceUnavailable = 503;
 constexpr std::uint16_t HttpGatewayTimeout = 504;
 
-Scheduling::Asker selfOf(const State &state)
-{
-    return {state.m_settings.m_host, state.m_settings.m_domain};
-}
-
-Draw drawFor(State &state, const Exchange &exchange, DrawPurpose purpose, TimePoint now)
-{
-    const auto workspace = exchange.m_catalogue->m_workspaces.find(exchange.m_workspace);
-    const bool hasPriority = workspace != exchange.m_catalogue->m_workspaces.end() && workspace->second.m_priority;
-    Draw draw;
-    draw.m_number = ++state.m_lastDraw;
-    draw.m_purpose = purpose;
-    draw.m_service = exchange.m_service;
-    draw.m_workspace = exchange.m_workspace;
-    draw.m_fingerprint = exchange.m_fingerprint;
-    draw.m_priority = hasPriority ? *workspace->second.m_priority : exchange.m_route.m_priority;
-    draw.m_idempotent = exchange.m_route.m_idempotent;
-    draw.m_timeLeft = exchange.m_deadline - now;
-    draw.m_objectiveLeft = exchange.m_arrivedAt + exchange.m_route.m_latencyObjective - now;
-    draw.m_excluded = exchange.m_tried;
-    return draw;
-}
-
 Problem problemOf(const DrawAnswer &refusal)
 {
     switch (refusal.m_reason) {
@@ -143,6 +120,20 @@
     refuse(state, id, problem, now, actions);
 }
 
+/// Tries another server, or gives up.
+void tryAnother(State &state, ExchangeId id, DrawPurpose purpose, const Problem &problem, TimePoint now, Actions &actions)
+{
+    if (mayTryAnother(state.m_exchanges.at(id), state.m_settings, now)) {
+        return drawServer(state, id, purpose, now, actions);
+    }
+    giveUp(state, id, problem, now, actions);
+}
+
+Problem leavingProblem()
+{
+    return {HttpServiceUnavailable, ErrorId::RequestNoServer, Outcome::NotRun, "the backend server is leaving", {}};
+}
+
 /// Tells why an attempt must not start: the configuration has changed or grown old while the request waited.
 std::optional<Problem> checkBeforeStart(const State &state, const Exchange &exchange, TimePoint now)
 {
@@ -169,44 +160,61 @@
     }
 }
 
-void startAttempt(State &state, ExchangeId id, const DrawAnswer &granted, TimePoint now, Actions &actions)
+/// Tells whether this host knows more of a server than whoever granted it: it is leaving.
+bool isLeaving(const State &state, const ServerId &server, TimePoint now)
+{
+    const auto known = state.m_scheduler.m_book.m_servers.find(server);
+    if (known == state.m_scheduler.m_book.m_servers.end()) {
+        return false;
+    }
+    const bool saidSo = known->second.m_leavingUntil && now < *known->second.m_leavingUntil;
+    return saidSo || known->second.m_server.m_use == Configuration::ServerUse::Leaving;
+}
+
+/// Gives back a server that was granted and isn't used.
+void giveBack(State &state, const HostId &lead, const DrawAnswer &granted, TimePoint now)
+{
+    reportDone(state, lead, {granted.m_number, *granted.m_server, AttemptEnd::Abandoned, {}, 0, 0, false}, now);
+}
+
+void startAttempt(State &state, ExchangeId id, const HostId &lead, const DrawAnswer &granted, TimePoint now, Actions &actions)
 {
     Exchange &exchange = state.m_exchanges.at(id);
     const ServerId &server = *granted.m_server;
-    const auto known = state.m_scheduler.m_book.m_servers.find(server);
-    const auto refused = known == state.m_scheduler.m_book.m_servers.end()
-        ? Problem{HttpServiceUnavailable, ErrorId::RequestNoServer, Outcome::NotRun, "the backend server is gone", {}}
-        : checkBeforeStart(state, exchange, now);
-    if (refused) {
-        Scheduling::finish(state.m_scheduler, {granted.m_number, server, AttemptEnd::Abandoned, {}, 0, 0, false}, selfOf(state), now);
+    if (const auto refused = checkBeforeStart(state, exchange, now)) {
+        giveBack(state, lead, granted, now);
         return giveUp(state, id, *refused, now, actions);
     }
+    exchange.m_tried.push_back(server);
+    if (isLeaving(state, server, now)) {
+        giveBack(state, lead, granted, now);
+        ++exchange.m_unsent;
+        return tryAnother(state, id, DrawPurpose::Instead, leavingProblem(), now, actions);
+    }
+    const auto known = state.m_scheduler.m_book.m_servers.find(server);
+    const bool isKnown = known != state.m_scheduler.m_book.m_servers.end();
+    if (!lead.isEmpty() && isKnown) {
+        Scheduling::startDraw(
+            state.m_scheduler.m_book, state.m_settings.m_scheduling.m_pick, {state.m_settings.m_host, granted.m_number}, server, selfOf(state), now);
+    }
     const AttemptId attempt = ++state.m_lastAttempt;
-    state.m_attempts.emplace(attempt, Attempt{id, granted.m_number, server, now, false});
+    state.m_attempts.emplace(attempt, Attempt{id, granted.m_number, lead, server, now, false});
     exchange.m_running.insert(attempt);
-    exchange.m_tried.push_back(server);
     planHedge(state, id, exchange, now);
     ++exchange.m_sent;
     log(actions,
         LogLine("attempt-started")
             .with("request", exchange.m_request.m_facts.m_attemptId)
             .with("server", server.text())
+            .with("lead", lead.text())
             .with("service", exchange.m_service.text())
             .with("workspace", exchange.m_workspace.text())
             .with("attempt", exchange.m_sent)
             .with("time_left_us", (exchange.m_deadline - now).count())
             .with("configuration_version", static_cast<std::int64_t>(state.m_catalogue->m_version)));
     const ConnectionUse use = exchange.m_route.m_idempotent ? ConnectionUse::Any : ConnectionUse::Fresh;
-    actions.emplace_back(StartAttempt{id, attempt, server, known->second.m_server.m_address, exchange.m_workspace, use, exchange.m_deadline - now});
-}
-
-/// Tries another server, or gives up.
-void tryAnother(State &state, ExchangeId id, DrawPurpose purpose, const Problem &problem, TimePoint now, Actions &actions)
-{
-    if (mayTryAnother(state.m_exchanges.at(id), state.m_settings, now)) {
-        return drawServer(state, id, purpose, now, actions);
-    }
-    giveUp(state, id, problem, now, actions);
+    const std::string address = lead.isEmpty() ? known->second.m_server.m_address : granted.m_address;
+    actions.emplace_back(StartAttempt{id, attempt, server, address, exchange.m_workspace, use, exchange.m_deadline - now});
 }
 
 Problem problemOf(const AttemptFailed &failure, bool mayHaveRun)
@@ -240,34 +248,26 @@
         done.m_waiting = load->m_waiting;
         done.m_hasLoad = true;
     }
-    Scheduling::finish(state.m_scheduler, done, selfOf(state), now);
+    reportDone(state, attempt.m_lead, done, now);
     Reporting::count(state.m_counters, "attempts{end=\"" + Scheduling::toString(end) + "\"}");
     return attempt;
 }
 
-void drawServer(State &state, ExchangeId id, DrawPurpose purpose, TimePoint now, Actions &actions)
-{
-    Exchange &exchange = state.m_exchanges.at(id);
-    const Draw draw = drawFor(state, exchange, purpose, now);
-    exchange.m_draw = draw.m_number;
-    state.m_draws.emplace(draw.m_number, PendingDraw{id});
-    const auto answer = Scheduling::draw(state.m_scheduler, draw, selfOf(state), state.m_random, now);
-    if (answer) {
-        onDrawAnswered(state, *answer, now, actions);
-    }
-}
-
-void onDrawAnswered(State &state, const DrawAnswer &answer, TimePoint now, Actions &actions)
+void onDrawAnswered(State &state, const HostId &lead, const DrawAnswer &answer, TimePoint now, Actions &actions)
 {
     const auto pending = state.m_draws.find(answer.m_number);
-    if (pending == state.m_draws.end()) {
+    if (pending == state.m_draws.end() || pending->second.m_lead != lead) {
+        const bool isUsed = std::ranges::any_of(state.m_attempts, [&](const auto &entry) { return entry.second.m_draw == answer.m_number; });
+        if (answer.m_server && !isUsed) {
+            giveBack(state, lead, answer, now); // The host has decided without the lead meanwhile.
+        }
         return;
     }
     const ExchangeId id = pending->second.m_exchange;
     state.m_draws.erase(pending);
     state.m_exchanges.at(id).m_draw.reset();
     if (answer.m_server) {
-        return startAttempt(state, id, answer, now, actions);
+        return startAttempt(state, id, lead, answer, now, actions);
     }
     giveUp(state, id, problemOf(answer), now, actions);
 }
--- /dev/null
+++ b/src/host/draws.cpp
@@ -0,0 +1,186 @@
+#include <ragwortrelay/detail/host/duties.h>
+
+#include <algorithm>
+
+namespace RagwortRelay::Host::detail {
+
+namespace {
+
+using Scheduling::Draw;
+using Scheduling::DrawAnswer;
+using Scheduling::DrawDone;
+using Scheduling::DrawPurpose;
+
+/// Times that a draw which waits at the lead is asked about without an answer.
+constexpr unsigned MostUnanswered = 2;
+
+Draw drawFor(State &state, const Exchange &exchange, DrawPurpose purpose, TimePoint now)
+{
+    const auto workspace = exchange.m_catalogue->m_workspaces.find(exchange.m_workspace);
+    const bool hasPriority = workspace != exchange.m_catalogue->m_workspaces.end() && workspace->second.m_priority;
+    Draw draw;
+    draw.m_number = ++state.m_lastDraw;
+    draw.m_purpose = purpose;
+    draw.m_service = exchange.m_service;
+    draw.m_workspace = exchange.m_workspace;
+    draw.m_fingerprint = exchange.m_fingerprint;
+    draw.m_priority = hasPriority ? *workspace->second.m_priority : exchange.m_route.m_priority;
+    draw.m_idempotent = exchange.m_route.m_idempotent;
+    draw.m_timeLeft = exchange.m_deadline - now;
+    draw.m_objectiveLeft = exchange.m_arrivedAt + exchange.m_route.m_latencyObjective - now;
+    draw.m_excluded = exchange.m_tried;
+    return draw;
+}
+
+bool hasLead(const State &state)
+{
+    return !Fleet::isLeading(state.m_leadership) && state.m_leadership.m_answeredAt.has_value();
+}
+
+void decideAlone(State &state, PendingDraw &pending, TimePoint now, Actions &actions)
+{
+    pending.m_lead = {};
+    const auto answer = Scheduling::draw(state.m_scheduler, pending.m_draw, selfOf(state), state.m_random, now);
+    if (answer) {
+        onDrawAnswered(state, {}, *answer, now, actions);
+    }
+}
+
+void askLead(State &state, PendingDraw &pending, TimePoint now)
+{
+    ++pending.m_unanswered;
+    const DrawSettings &settings = state.m_settings.m_draws;
+    const Duration wait = pending.m_isQueued ? settings.m_askInterval : settings.m_resendAfter;
+    state.m_due.emplace(now + wait, Due{DueKind::Draw, pending.m_draw.m_number});
+    sendTo(state, pending.m_lead, pending.m_draw);
+}
+
+Scheduling::Asker askerOf(const State &state, const HostId &host)
+{
+    const auto follower = state.m_leadership.m_followers.find(host);
+    return {host, follower == state.m_leadership.m_followers.end() ? FailureDomainId() : follower->second.m_domain};
+}
+
+void addAddress(const State &state, DrawAnswer &answer)
+{
+    if (answer.m_server) {
+        answer.m_address = state.m_scheduler.m_book.m_servers.at(*answer.m_server).m_server.m_address;
+    }
+}
+
+}
+
+void drawServer(State &state, ExchangeId id, DrawPurpose purpose, TimePoint now, Actions &actions)
+{
+    Exchange &exchange = state.m_exchanges.at(id);
+    const Draw draw = drawFor(state, exchange, purpose, now);
+    exchange.m_draw = draw.m_number;
+    PendingDraw &pending = state.m_draws[draw.m_number];
+    pending = {id, draw, {}, now, 0, false};
+    if (!hasLead(state)) {
+        return decideAlone(state, pending, now, actions);
+    }
+    pending.m_lead = state.m_leadership.m_lead;
+    askLead(state, pending, now);
+}
+
+void withdrawDraw(State &state, std::uint64_t number)
+{
+    const auto found = state.m_draws.find(number);
+    if (found == state.m_draws.end()) {
+        return;
+    }
+    if (found->second.m_lead.isEmpty()) {
+        Scheduling::withdraw(state.m_scheduler, {state.m_settings.m_host, number});
+    } else {
+        sendTo(state, found->second.m_lead, Fleet::DrawWithdrawn{number});
+    }
+    state.m_draws.erase(found);
+}
+
+void reportDone(State &state, const HostId &lead, const DrawDone &done, TimePoint now)
+{
+    Scheduling::finish(state.m_scheduler, done, selfOf(state), now);
+    if (!lead.isEmpty()) {
+        sendTo(state, lead, done);
+    }
+}
+
+void onDrawDue(State &state, std::uint64_t number, TimePoint now, Actions &actions)
+{
+    const auto found = state.m_draws.find(number);
+    if (found == state.m_draws.end() || found->second.m_lead.isEmpty()) {
+        return;
+    }
+    PendingDraw &pending = found->second;
+    const bool isLeadLost = pending.m_lead != state.m_leadership.m_lead;
+    const bool isOver = pending.m_isQueued ? pending.m_unanswered > MostUnanswered : now - pending.m_sentAt >= state.m_settings.m_draws.m_decideAfter;
+    if (!isLeadLost && !isOver) {
+        return askLead(state, pending, now);
+    }
+    Reporting::count(state.m_counters, "draws_unanswered");
+    Fleet::doubtLead(state.m_leadership, now);
+    decideAlone(state, pending, now, actions);
+}
+
+void onDrawQueued(State &state, const HostId &from, const Fleet::DrawQueued &queued)
+{
+    const auto pending = state.m_draws.find(queued.m_number);
+    if (pending != state.m_draws.end() && pending->second.m_lead == from) {
+        pending->second.m_isQueued = true;
+        pending->second.m_unanswered = 0;
+    }
+}
+
+void serveQueues(State &state, TimePoint now, Actions &actions)
+{
+    for (Scheduling::Answered &answered : Scheduling::serve(state.m_scheduler, state.m_random, now)) {
+        if (answered.m_host == state.m_settings.m_host) {
+            onDrawAnswered(state, {}, answered.m_answer, now, actions);
+        } else {
+            addAddress(state, answered.m_answer);
+            sendTo(state, answered.m_host, answered.m_answer);
+        }
+    }
+}
+
+void onDraw(State &state, const HostId &from, const Draw &draw, TimePoint now)
+{
+    const Scheduling::DrawId id{from, draw.m_number};
+    const auto granted = state.m_scheduler.m_granted.find(id);
+    std::optional<DrawAnswer> answer;
+    if (granted != state.m_scheduler.m_granted.end()) {
+        answer = DrawAnswer{draw.m_number, granted->second.m_server, {}, {}, {}};
+    } else if (!Scheduling::isQueued(state.m_scheduler, id)) {
+        answer = Scheduling::draw(state.m_scheduler, draw, askerOf(state, from), state.m_random, now);
+    }
+    if (!answer) {
+        return sendTo(state, from, Fleet::DrawQueued{draw.m_number});
+    }
+    const bool isStillThere = !answer->m_server || state.m_scheduler.m_book.m_servers.contains(*answer->m_server);
+    if (isStillThere) {
+        addAddress(state, *answer);
+        sendTo(state, from, *answer);
+    }
+}
+
+void onDrawDone(State &state, const HostId &from, const DrawDone &done, TimePoint now)
+{
+    Scheduling::finish(state.m_scheduler, done, askerOf(state, from), now);
+}
+
+void onDrawWithdrawn(State &state, const HostId &from, const Fleet::DrawWithdrawn &withdrawn, TimePoint now)
+{
+    const Scheduling::DrawId id{from, withdrawn.m_number};
+    Scheduling::withdraw(state.m_scheduler, id);
+    const auto granted = state.m_scheduler.m_granted.find(id);
+    if (granted != state.m_scheduler.m_granted.end()) {
+        DrawDone done;
+        done.m_number = withdrawn.m_number;
+        done.m_server = granted->second.m_server;
+        done.m_end = Scheduling::AttemptEnd::Abandoned;
+        Scheduling::finish(state.m_scheduler, done, askerOf(state, from), now);
+    }
+}
+
+}
--- /dev/null
+++ b/src/host/fleet.cpp
@@ -0,0 +1,253 @@
+#include <ragwortrelay/detail/host/duties.h>
+
+#include <algorithm>
+
+namespace RagwortRelay::Host::detail {
+
+namespace {
+
+using Fleet::Message;
+using Fleet::Pulse;
+using Fleet::TableKind;
+using Reporting::LogLine;
+
+/// Suspicion from which a lead tells its followers of a server.
+constexpr double LeastNote = 1.0;
+
+constexpr std::size_t MostNotes = 24;
+
+std::vector<Fleet::TableStand> standsOf(const State &state, TimePoint now)
+{
+    std::vector<Fleet::TableStand> stands;
+    for (const KnownTable &table : state.m_tables) {
+        stands.push_back(Fleet::standOf(table.m_shared, now));
+    }
+    return stands;
+}
+
+std::vector<Fleet::ServerNote> notesOf(const State &state, TimePoint now)
+{
+    std::vector<Fleet::ServerNote> notes;
+    const Health::SuspicionSettings &settings = state.m_settings.m_scheduling.m_pick.m_suspicion;
+    for (const auto &[id, server] : state.m_scheduler.m_book.m_servers) {
+        for (const auto &[domain, suspicion] : server.m_suspicion.m_byDomain) {
+            const double value = Health::valueAt(settings, suspicion, now);
+            if (value >= LeastNote && notes.size() < MostNotes) {
+                notes.push_back({id, domain, value});
+            }
+        }
+    }
+    return notes;
+}
+
+std::vector<std::uint64_t> runningDraws(const State &state, const HostId &lead)
+{
+    std::vector<std::uint64_t> draws;
+    for (const auto &[id, attempt] : state.m_attempts) {
+        if (attempt.m_lead == lead) {
+            draws.push_back(attempt.m_draw);
+        }
+    }
+    return draws;
+}
+
+void sendPulse(State &state, const Fleet::PulseOrder &order, TimePoint now)
+{
+    Pulse pulse = Fleet::makePulse(state.m_leadership, order, now);
+    pulse.m_domain = state.m_settings.m_domain;
+    pulse.m_tables = standsOf(state, now);
+    if (Fleet::isLeading(state.m_leadership)) {
+        pulse.m_reader = Fleet::isReader(state.m_leadership, order.m_host);
+        if (state.m_leadership.m_followers.contains(order.m_host)) {
+            pulse.m_notes = notesOf(state, now);
+        }
+    } else if (order.m_host == state.m_leadership.m_lead) {
+        pulse.m_running = runningDraws(state, order.m_host);
+    }
+    sendTo(state, order.m_host, std::move(pulse));
+}
+
+void sendNews(State &state, const HostId &host, TableKind kind, const Fleet::TableStand &theirs)
+{
+    for (Fleet::NewsPart &part : Fleet::newsFor(tableOf(state, kind).m_shared, kind, theirs)) {
+        sendTo(state, host, std::move(part));
+    }
+}
+
+void takeNotes(State &state, const Pulse &pulse, TimePoint now)
+{
+    for (const Fleet::ServerNote &note : pulse.m_notes) {
+        const auto server = state.m_scheduler.m_book.m_servers.find(note.m_server);
+        if (server != state.m_scheduler.m_book.m_servers.end()) {
+            server->second.m_suspicion.m_byDomain[note.m_domain] = {note.m_value, now};
+        }
+    }
+}
+
+/// Compares how far both hosts know the tables, and tells the other one what it lacks.
+void compareTables(State &state, const HostId &from, const Pulse &pulse)
+{
+    if (pulse.m_tables.size() != Fleet::TableKinds) {
+        return;
+    }
+    const auto writtenAt = Fleet::writtenAfter(pulse);
+    for (std::size_t i = 0; i < Fleet::TableKinds; ++i) {
+        const Fleet::TableStand &theirs = pulse.m_tables[i];
+        KnownTable &table = state.m_tables[i];
+        if (writtenAt) {
+            Fleet::takeConfirmation(table.m_shared, theirs, *writtenAt - theirs.m_age);
+        }
+        if (from == state.m_leadership.m_lead) {
+            table.m_leadAge = theirs.m_age;
+        }
+        sendNews(state, from, static_cast<TableKind>(i), theirs);
+    }
+}
+
+void logLeadChange(const State &state, const HostId &before, TimePoint now, Actions &actions)
+{
+    if (state.m_leadership.m_lead != before) {
+        log(actions,
+            LogLine("lead-changed")
+                .with("lead", state.m_leadership.m_lead.text())
+                .with("before", before.text())
+                .with("share", std::to_string(Fleet::shareOf(state.m_leadership, now))));
+    }
+}
+
+void noteLeadChange(State &state, const HostId &before, TimePoint now, Actions &actions)
+{
+    logLeadChange(state, before, now, actions);
+    const bool leads = Fleet::isLeading(state.m_leadership);
+    if (state.m_leadership.m_lead != before && leads) {
+        state.m_leadsSince = now;
+        state.m_stands.clear();
+    }
+}
+
+void onPulse(State &state, const HostId &from, Fleet::Incarnation incarnation, const Pulse &pulse, TimePoint now, Actions &actions)
+{
+    const HostId leadBefore = state.m_leadership.m_lead;
+    const bool wasAnswered = state.m_leadership.m_answeredAt.has_value();
+    const bool wantsAnswer = Fleet::takePulse(state.m_leadership, from, incarnation, pulse, now);
+    noteLeadChange(state, leadBefore, now, actions);
+    if (!wasAnswered && state.m_leadership.m_answeredAt) {
+        log(actions, LogLine("lead-found").with("lead", state.m_leadership.m_lead.text()));
+    }
+    compareTables(state, from, pulse);
+    if (from == state.m_leadership.m_lead) {
+        takeNotes(state, pulse, now);
+    }
+    if (pulse.m_lead == state.m_settings.m_host) {
+        constexpr Duration JustStarted = std::chrono::milliseconds(300);
+        state.m_stands[from] = pulse.m_tables;
+        Scheduling::reconcile(state.m_scheduler, from, pulse.m_running, now - JustStarted);
+    }
+    if (wantsAnswer) {
+        sendPulse(state, {from, false}, now);
+    }
+}
+
+void onNews(State &state, const Fleet::NewsPart &part, TimePoint now, Actions &actions)
+{
+    if (Fleet::takeNews(tableOf(state, part.m_table).m_shared, part)) {
+        onTableChanged(state, part.m_table, now, actions);
+        spreadNews(state, part.m_table, now);
+    }
+}
+
+void onMessage(State &state, const Fleet::Datagram &datagram, const Message &message, TimePoint now, Actions &actions)
+{
+    const HostId &from = datagram.m_from;
+    std::visit(
+        [&](const auto &typed) {
+            using Type = std::decay_t<decltype(typed)>;
+            if constexpr (std::is_same_v<Type, Pulse>) {
+                onPulse(state, from, datagram.m_incarnation, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, Fleet::NewsPart>) {
+                onNews(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, Scheduling::Draw>) {
+                onDraw(state, from, typed, now);
+            } else if constexpr (std::is_same_v<Type, Fleet::DrawQueued>) {
+                onDrawQueued(state, from, typed);
+            } else if constexpr (std::is_same_v<Type, Scheduling::DrawAnswer>) {
+                onDrawAnswered(state, from, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, Scheduling::DrawDone>) {
+                onDrawDone(state, from, typed, now);
+            } else {
+                onDrawWithdrawn(state, from, typed, now);
+            }
+        },
+        message);
+}
+
+}
+
+Scheduling::Asker selfOf(const State &state)
+{
+    return {state.m_settings.m_host, state.m_settings.m_domain};
+}
+
+void sendTo(State &state, const HostId &host, Message message)
+{
+    const auto seat = state.m_roster.find(host);
+    if (seat != state.m_roster.end()) {
+        state.m_outbox[seat->second.m_address].push_back(std::move(message));
+    }
+}
+
+void onPeerSpoke(State &state, const PeerSpoke &spoke, TimePoint now, Actions &actions)
+{
+    const auto seat = state.m_roster.find(spoke.m_datagram.m_from);
+    if (seat == state.m_roster.end()) {
+        // A host that this one doesn't know yet: answers go to where it sends from.
+        const HostId &from = spoke.m_datagram.m_from;
+        state.m_roster.emplace(from, Fleet::Seat{from, spoke.m_address, {}, spoke.m_datagram.m_incarnation, 0.0});
+    }
+    for (const Message &message : spoke.m_datagram.m_messages) {
+        onMessage(state, spoke.m_datagram, message, now, actions);
+    }
+}
+
+void tellConfirmation(State &state, TimePoint now)
+{
+    const auto age = configurationAge(state, now);
+    const Duration worthTelling = state.m_settings.m_freshness.m_worthTelling;
+    if (!age) {
+        return;
+    }
+    if (!Fleet::isLeading(state.m_leadership)) {
+        const Duration leadAge = tableOf(state, TableKind::Configuration).m_leadAge;
+        if (state.m_leadership.m_answeredAt && leadAge > *age + worthTelling + state.m_settings.m_leadership.m_pulseInterval) {
+            sendPulse(state, {state.m_leadership.m_lead, true}, now);
+        }
+    }
+}
+
+void spreadNews(State &state, TableKind kind, TimePoint now)
+{
+    const auto index = static_cast<std::size_t>(kind);
+    if (!Fleet::isLeading(state.m_leadership)) {
+        return;
+    }
+    for (auto &[host, stands] : state.m_stands) {
+        if (stands.size() == Fleet::TableKinds && state.m_leadership.m_followers.contains(host)) {
+            sendNews(state, host, kind, stands[index]);
+            stands[index] = Fleet::standOf(state.m_tables[index].m_shared, now); // A loss shows with its next pulse.
+        }
+    }
+}
+
+void tickFleet(State &state, TimePoint now, Actions &actions)
+{
+    const HostId leadBefore = state.m_leadership.m_lead;
+    if (!state.m_settings.m_peerAddress.empty()) {
+        for (const Fleet::PulseOrder &order : Fleet::tick(state.m_leadership, state.m_random, now)) {
+            sendPulse(state, order, now);
+        }
+    }
+    noteLeadChange(state, leadBefore, now, actions);
+    Scheduling::setShare(state.m_scheduler, Fleet::shareOf(state.m_leadership, now), now);
+}
+
+}
--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -59,18 +59,24 @@
     while (!state.m_due.empty() && state.m_due.begin()->first <= now) {
         const Due due = state.m_due.begin()->second;
         state.m_due.erase(state.m_due.begin());
-        if (due.m_kind == DueKind::Deadline) {
-            onDeadline(state, due.m_exchange, now, actions);
-        } else {
-            onHedgeDue(state, due.m_exchange, now, actions);
+        switch (due.m_kind) {
+        case DueKind::Deadline:
+            onDeadline(state, due.m_subject, now, actions);
+            break;
+        case DueKind::Hedge:
+            onHedgeDue(state, due.m_subject, now, actions);
+            break;
+        case DueKind::Draw:
+            onDrawDue(state, due.m_subject, now, actions);
+            break;
         }
     }
 }
 
-void serveQueues(State &state, TimePoint now, Actions &actions)
+void flushOutbox(State &state, Actions &actions)
 {
-    for (const Scheduling::Answered &answered : Scheduling::serve(state.m_scheduler, state.m_random, now)) {
-        onDrawAnswered(state, answered.m_answer, now, actions);
+    for (auto &[address, messages] : std::exchange(state.m_outbox, {})) {
+        actions.emplace_back(SendPeer{address, {state.m_settings.m_host, state.m_incarnation, std::move(messages)}});
     }
 }
 
@@ -78,17 +84,22 @@
 
 }
 
-State makeState(const HostSettings &settings, const Source &source, std::uint64_t seed)
+State makeState(const HostSettings &settings, const Source &source, Fleet::Incarnation incarnation, std::uint64_t seed)
 {
     State state;
     state.m_settings = settings;
     state.m_source = source;
     state.m_random.seed(seed);
     state.m_scheduler.m_settings = settings.m_scheduling;
-    state.m_configurationFollower.m_table = source.m_configurationTable;
-    state.m_configurationFollower.m_settings = settings.m_following;
-    state.m_serverFollower.m_table = source.m_serverTable;
-    state.m_serverFollower.m_settings = settings.m_following;
+    state.m_incarnation = incarnation;
+    state.m_leadership = Fleet::makeLeadership(settings.m_leadership, settings.m_host);
+    state.m_lastDraw = drawBelow(state.m_random, std::uint64_t{1} << 48U); // Draws of an earlier process have other numbers.
+    state.m_staleDelay = Duration(static_cast<std::int64_t>(drawBelow(state.m_random, settings.m_freshness.m_staleSpread.count() + 1)));
+    const std::array<std::string, Fleet::TableKinds> names{source.m_configurationTable, source.m_serverTable, source.m_hostTable};
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        state.m_tables[i].m_follower.m_table = names[i];
+        state.m_tables[i].m_follower.m_settings.m_wait = i == 0 ? settings.m_configurationWait : settings.m_tableWait;
+    }
     return state;
 }
 
@@ -112,16 +123,21 @@
                 detail::onServerCloses(state, typed, now);
             } else if constexpr (std::is_same_v<Type, StoreAnswered>) {
                 detail::onStoreAnswered(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, PeerSpoke>) {
+                detail::onPeerSpoke(state, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, StopAsked>) {
                 detail::onStopAsked(state, now, actions);
             }
         },
         event);
     detail::doWhatIsDue(state, now, actions);
+    detail::tickFleet(state, now, actions);
     detail::serveQueues(state, now, actions);
     detail::callStore(state, now, actions);
+    detail::tickSeats(state, now, actions);
     detail::setReadiness(state, detail::mayServeWorkspaces(state, now) && !state.m_stopAskedAt, now, actions);
     detail::stopWhenIdle(state, now, actions);
+    detail::flushOutbox(state, actions);
     return actions;
 }
 
@@ -131,9 +147,13 @@
     if (!state.m_due.empty()) {
         next = std::min(next, state.m_due.begin()->first);
     }
-    next = std::min({next, Store::nextCallAt(state.m_configurationFollower), Store::nextCallAt(state.m_serverFollower)});
-    if (state.m_ready && state.m_configurationFollower.m_confirmedAt) {
-        next = std::min(next, *state.m_configurationFollower.m_confirmedAt + state.m_settings.m_keyFreshness);
+    next = std::min(next, detail::nextStoreCallAt(state));
+    if (!state.m_settings.m_peerAddress.empty()) {
+        next = std::min(next, Fleet::nextTickAt(state.m_leadership));
+    }
+    const auto &confirmedAt = detail::tableOf(state, Fleet::TableKind::Configuration).m_shared.m_confirmedAt;
+    if (state.m_ready && confirmedAt) {
+        next = std::min(next, *confirmedAt + state.m_settings.m_freshness.m_keys + Duration(1000));
     }
     if (state.m_stopAskedAt && !state.m_exited) {
         constexpr Duration StopInterval = std::chrono::milliseconds(50);
--- a/src/host/requests.cpp
+++ b/src/host/requests.cpp
@@ -55,7 +55,7 @@
 bool mayDeny(const State &state, TimePoint now)
 {
     const auto age = configurationAge(state, now);
-    return age && *age <= state.m_settings.m_refusalFreshness;
+    return age && *age <= state.m_settings.m_freshness.m_denial;
 }
 
 /// Fills in who the request runs for.
@@ -165,8 +165,7 @@
     const Exchange exchange = std::move(found->second);
     state.m_exchanges.erase(found);
     if (exchange.m_draw) {
-        Scheduling::withdraw(state.m_scheduler, {state.m_settings.m_host, *exchange.m_draw});
-        state.m_draws.erase(*exchange.m_draw);
+        withdrawDraw(state, *exchange.m_draw);
     }
     for (const AttemptId attempt : exchange.m_running) {
         if (exchange.m_route.m_idempotent) {
--- /dev/null
+++ b/src/host/seats.cpp
@@ -0,0 +1,168 @@
+#include <ragwortrelay/detail/host/duties.h>
+
+#include <algorithm>
+
+namespace RagwortRelay::Host::detail {
+
+namespace {
+
+using Fleet::TableKind;
+using Reporting::LogLine;
+using Reporting::Severity;
+
+/// Row of the hosts' table that holds the secret of the fleet; no host has this name.
+constexpr const char *SecretRow = "_secret";
+
+constexpr std::size_t SecretBytes = 32;
+
+/// Pause after a try to register that was refused or not answered.
+constexpr Duration RegisterPause = std::chrono::milliseconds(250);
+
+/// A host that was not heard of for so long, and whose seat didn't change, is taken to be gone. By then its configuration is too old
+/// for it to use its part of any limit.
+constexpr Duration GoneAfter = std::chrono::seconds(10);
+
+constexpr Duration UnregisterInterval = std::chrono::seconds(1);
+
+Fleet::Seat ownSeat(const State &state)
+{
+    const HostSettings &settings = state.m_settings;
+    return {settings.m_host, settings.m_peerAddress, settings.m_domain, state.m_incarnation, settings.m_capacity};
+}
+
+std::string newSecret(RandomGenerator &random)
+{
+    std::string secret;
+    for (std::size_t i = 0; i < SecretBytes; ++i) {
+        secret += static_cast<char>(drawBelow(random, 256));
+    }
+    return secret;
+}
+
+Store::RowKey seatKey(const State &state, const std::string &name)
+{
+    return {state.m_source.m_hostTable, {}, name};
+}
+
+Store::Version versionOf(const State &state, const std::string &name)
+{
+    const auto &rows = tableOf(state, TableKind::Hosts).m_shared.m_rows;
+    const auto row = rows.find(name);
+    return row == rows.end() || row->second.m_erased ? 0 : row->second.m_version;
+}
+
+bool isRegistered(const State &state)
+{
+    const auto seat = state.m_roster.find(state.m_settings.m_host);
+    return seat != state.m_roster.end() && seat->second == ownSeat(state);
+}
+
+void registerSelf(State &state, TimePoint now, Actions &actions)
+{
+    Registration &registration = state.m_registration;
+    const bool isKnown = tableOf(state, TableKind::Hosts).m_shared.m_version > 0;
+    if (!isKnown || registration.m_isRunning || now < registration.m_nextAt || state.m_stopAskedAt || isRegistered(state)) {
+        return;
+    }
+    const std::string &name = state.m_settings.m_host.text();
+    Store::Transact transact;
+    transact.m_expected.push_back({seatKey(state, name), versionOf(state, name)});
+    transact.m_writes.push_back({seatKey(state, name), Fleet::encodeSeat(ownSeat(state))});
+    if (versionOf(state, SecretRow) == 0) {
+        transact.m_expected.push_back({seatKey(state, SecretRow), 0});
+        transact.m_writes.push_back({seatKey(state, SecretRow), newSecret(state.m_random)});
+    }
+    registration.m_isRunning = true;
+    startCall(state, {CallPurpose::Register, {}}, transact, actions);
+}
+
+/// Returns a host that is registered and gone, or nothing.
+std::optional<HostId> goneHost(const State &state, TimePoint now)
+{
+    for (const auto &[host, seat] : state.m_roster) {
+        const auto contact = state.m_leadership.m_contacts.find(host);
+        const bool wasHeard = contact != state.m_leadership.m_contacts.end() && now - contact->second.m_receivedAt < GoneAfter;
+        if (!wasHeard && host != state.m_settings.m_host) {
+            return host;
+        }
+    }
+    return std::nullopt;
+}
+
+void unregisterGone(State &state, TimePoint now, Actions &actions)
+{
+    const bool isTime = Fleet::isLeading(state.m_leadership) && now - state.m_leadsSince >= GoneAfter && now >= state.m_unregisterAt;
+    if (!isTime) {
+        return;
+    }
+    state.m_unregisterAt = now + UnregisterInterval;
+    const auto gone = goneHost(state, now);
+    const bool leadsMost = 2 * Fleet::followersOf(state.m_leadership, now) >= state.m_roster.size();
+    if (gone && leadsMost) {
+        Store::Transact transact;
+        transact.m_expected.push_back({seatKey(state, gone->text()), versionOf(state, gone->text())});
+        transact.m_erased.push_back(seatKey(state, gone->text()));
+        log(actions, LogLine("host-gone").with("gone", gone->text()));
+        startCall(state, {CallPurpose::Unregister, {}}, transact, actions);
+    }
+}
+
+}
+
+void tickSeats(State &state, TimePoint now, Actions &actions)
+{
+    if (state.m_settings.m_peerAddress.empty()) {
+        return;
+    }
+    registerSelf(state, now, actions);
+    unregisterGone(state, now, actions);
+}
+
+void onSeatAnswered(State &state, CallPurpose purpose, const Store::Result &result, TimePoint now, Actions &actions)
+{
+    if (purpose != CallPurpose::Register) {
+        return; // The table tells what became of it.
+    }
+    state.m_registration.m_isRunning = false;
+    state.m_registration.m_nextAt = now + RegisterPause;
+    if (std::holds_alternative<Store::Committed>(result)) {
+        state.m_registration.m_nextAt = now + std::chrono::seconds(2); // Until the table shows the seat.
+        log(actions, LogLine("registered").with("address", state.m_settings.m_peerAddress));
+        return;
+    }
+    if (std::holds_alternative<Store::Conflict>(result)) {
+        KnownTable &table = tableOf(state, TableKind::Hosts);
+        table.m_follower.m_mustRead = !table.m_follower.m_isRunning || table.m_follower.m_mustRead;
+    }
+    log(actions, LogLine("registration-failed", Severity::Warning).with("conflict", std::holds_alternative<Store::Conflict>(result) ? "yes" : "no"));
+}
+
+void takeRoster(State &state, TimePoint now, Actions &actions)
+{
+    Fleet::Roster roster;
+    for (const auto &[name, row] : tableOf(state, TableKind::Hosts).m_shared.m_rows) {
+        if (row.m_erased) {
+            continue;
+        }
+        if (name == SecretRow) {
+            if (row.m_value != state.m_secret) {
+                state.m_secret = row.m_value;
+                actions.emplace_back(SetPeerSecret{state.m_secret});
+            }
+            continue;
+        }
+        const auto seat = Fleet::decodeSeat(HostId(name), row.m_value);
+        if (seat) {
+            roster.emplace(seat->m_host, *seat);
+        } else {
+            log(actions, LogLine("seat-unreadable", Severity::Warning).with("seat", name).with("detail", seat.error().m_message));
+        }
+    }
+    if (roster != state.m_roster) {
+        state.m_roster = std::move(roster);
+        Fleet::setRoster(state.m_leadership, state.m_roster, now);
+        log(actions, LogLine("roster-changed").with("hosts", static_cast<std::int64_t>(state.m_roster.size())));
+    }
+}
+
+}
--- /dev/null
+++ b/src/host/tables.cpp
@@ -0,0 +1,227 @@
+#include <ragwortrelay/detail/host/duties.h>
+
+#include <algorithm>
+
+namespace RagwortRelay::Host::detail {
+
+namespace {
+
+using Fleet::TableKind;
+using Reporting::LogLine;
+using Reporting::Severity;
+using Store::FollowOutcome;
+
+constexpr std::array<TableKind, Fleet::TableKinds> AllTables{TableKind::Configuration, TableKind::Servers, TableKind::Hosts};
+
+std::string reasonOf(const Store::Result &result)
+{
+    if (const auto *refused = std::get_if<Store::Refused>(&result)) {
+        return refused->m_reason;
+    }
+    const auto *unanswered = std::get_if<Store::Unanswered>(&result);
+    return unanswered == nullptr ? "unexpected answer" : unanswered->m_reason;
+}
+
+/// Brings a configuration in force unless it is older than the one that is.
+void takeConfiguration(State &state, TimePoint now, Actions &actions)
+{
+    auto catalogue = state.m_source.m_readCatalogue(Fleet::rowsOf(tableOf(state, TableKind::Configuration).m_shared));
+    if (!catalogue) {
+        log(actions,
+            LogLine("configuration-unreadable", Severity::Error).with("error", toString(catalogue.error().m_id)).with("detail", catalogue.error().m_message));
+        return;
+    }
+    const std::uint64_t version = state.m_catalogue ? state.m_catalogue->m_version : 0;
+    if (catalogue->m_version <= version) {
+        return;
+    }
+    log(actions,
+        LogLine("configuration-in-force")
+            .with("version", static_cast<std::int64_t>(catalogue->m_version))
+            .with("before", static_cast<std::int64_t>(version))
+            .with("routes", static_cast<std::int64_t>(catalogue->m_routes.size()))
+            .with("workspaces", static_cast<std::int64_t>(catalogue->m_workspaces.size())));
+    state.m_catalogue = std::make_shared<const Configuration::Catalogue>(std::move(*catalogue));
+    Scheduling::setLimits(state.m_scheduler, *state.m_catalogue, now);
+    if (state.m_catalogue->m_callerLimits) {
+        actions.emplace_back(SetCallerLimits{*state.m_catalogue->m_callerLimits});
+    }
+}
+
+void logDirectoryChange(const Scheduling::ServerBook &book, const Configuration::ServerDirectory &directory, Actions &actions)
+{
+    for (const auto &[id, server] : directory.m_servers) {
+        const auto known = book.m_servers.find(id);
+        const bool isNew = known == book.m_servers.end();
+        if (isNew || known->second.m_server.m_use != server.m_use || known->second.m_server.m_incarnation != server.m_incarnation) {
+            const char *use = server.m_use == Configuration::ServerUse::Active ? "active" : "leaving";
+            log(actions, LogLine("server-listed").with("server", id.text()).with("service", server.m_service.text()).with("use", use));
+        }
+    }
+    for (const auto &[id, known] : book.m_servers) {
+        if (!directory.m_servers.contains(id)) {
+            log(actions, LogLine("server-gone").with("server", id.text()).with("service", known.m_server.m_service.text()));
+        }
+    }
+}
+
+void takeServers(State &state, TimePoint now, Actions &actions)
+{
+    Findings findings;
+    const auto directory = state.m_source.m_readServers(Fleet::rowsOf(tableOf(state, TableKind::Servers).m_shared), findings);
+    for (const Finding &finding : findings) {
+        log(actions, LogLine("server-unreadable", Severity::Warning).with("finding", toString(finding)));
+    }
+    logDirectoryChange(state.m_scheduler.m_book, directory, actions);
+    for (const ServerId &replaced : Scheduling::setServers(state.m_scheduler.m_book, directory, now)) {
+        actions.emplace_back(DropConnections{replaced});
+    }
+}
+
+std::optional<Duration> ageOf(const Fleet::SharedTable &table, TimePoint now)
+{
+    return table.m_confirmedAt ? std::optional(now - *table.m_confirmedAt) : std::nullopt;
+}
+
+/// Tells whether this host has to follow a table in the store: nobody else keeps it up to date.
+bool mustRead(const State &state, TableKind kind, TimePoint now)
+{
+    const Fleet::Leadership &leadership = state.m_leadership;
+    const auto age = ageOf(tableOf(state, kind).m_shared, now);
+    const bool isConfiguration = kind == TableKind::Configuration;
+    if (!age || Fleet::isLeading(leadership) || (leadership.m_isReader && isConfiguration)) {
+        return true;
+    }
+    const FreshnessSettings &freshness = state.m_settings.m_freshness;
+    return *age > (isConfiguration ? freshness.m_stale : freshness.m_staleServers) + state.m_staleDelay;
+}
+
+/// Starts or stops following a table. A host that asked because the others kept it waiting goes on for a while.
+void switchReading(State &state, KnownTable &table, TableKind kind, TimePoint now)
+{
+    constexpr Duration FreshAgain = std::chrono::milliseconds(1500);
+    const bool needed = mustRead(state, kind, now);
+    if (needed && !table.m_isRead) {
+        table.m_isRead = true;
+        table.m_follower.m_nextAt = std::max(table.m_follower.m_nextAt, now);
+        Fleet::resume(table.m_follower, table.m_shared);
+    } else if (!needed && table.m_isRead && !table.m_follower.m_isRunning && table.m_leadAge < FreshAgain && state.m_leadership.m_answeredAt) {
+        table.m_isRead = false;
+    }
+}
+
+void noteOutcome(State &state, KnownTable &table, std::uint32_t failuresBefore, const Store::Result &result, Actions &actions)
+{
+    const Store::Follower &follower = table.m_follower;
+    if (follower.m_failures > 0) {
+        Reporting::count(state.m_counters, "store_calls_failed");
+    }
+    if (failuresBefore == 0 && follower.m_failures == 1) {
+        log(actions, LogLine("store-lost", Severity::Warning).with("table", follower.m_table).with("reason", reasonOf(result)));
+    }
+    if (failuresBefore > 0 && follower.m_failures == 0) {
+        log(actions, LogLine("store-regained").with("table", follower.m_table).with("failures", failuresBefore));
+    }
+}
+
+void onFollowed(State &state, TableKind kind, const Store::Result &result, TimePoint now, Actions &actions)
+{
+    KnownTable &table = tableOf(state, kind);
+    const std::uint32_t failuresBefore = table.m_follower.m_failures;
+    const FollowOutcome outcome = Store::takeAnswer(table.m_follower, result, state.m_storeClock, now);
+    noteOutcome(state, table, failuresBefore, result, actions);
+    if (Fleet::takeFromStore(table.m_shared, table.m_follower, outcome)) {
+        onTableChanged(state, kind, now, actions);
+        spreadNews(state, kind, now);
+    }
+    if (kind == TableKind::Configuration) {
+        tellConfirmation(state, now);
+    }
+}
+
+}
+
+KnownTable &tableOf(State &state, TableKind kind)
+{
+    return state.m_tables[static_cast<std::size_t>(kind)];
+}
+
+const KnownTable &tableOf(const State &state, TableKind kind)
+{
+    return state.m_tables[static_cast<std::size_t>(kind)];
+}
+
+void onTableChanged(State &state, TableKind kind, TimePoint now, Actions &actions)
+{
+    switch (kind) {
+    case TableKind::Configuration:
+        return takeConfiguration(state, now, actions);
+    case TableKind::Servers:
+        return takeServers(state, now, actions);
+    case TableKind::Hosts:
+        return takeRoster(state, now, actions);
+    }
+}
+
+void startCall(State &state, const RunningCall &running, Store::Call call, Actions &actions)
+{
+    const StoreCallId id = ++state.m_lastCall;
+    state.m_calls.emplace(id, running);
+    Reporting::count(state.m_counters, "store_calls");
+    actions.emplace_back(CallStore{id, std::move(call)});
+}
+
+void onStoreAnswered(State &state, const StoreAnswered &answer, TimePoint now, Actions &actions)
+{
+    const auto call = state.m_calls.find(answer.m_call);
+    if (call == state.m_calls.end()) {
+        return;
+    }
+    const RunningCall running = call->second;
+    state.m_calls.erase(call);
+    if (running.m_purpose == CallPurpose::Follow) {
+        return onFollowed(state, running.m_table, answer.m_result, now, actions);
+    }
+    onSeatAnswered(state, running.m_purpose, answer.m_result, now, actions);
+}
+
+void callStore(State &state, TimePoint now, Actions &actions)
+{
+    for (const TableKind kind : AllTables) {
+        KnownTable &table = tableOf(state, kind);
+        switchReading(state, table, kind, now);
+        auto call = table.m_isRead ? Store::nextCall(table.m_follower, now) : std::nullopt;
+        if (call) {
+            startCall(state, {CallPurpose::Follow, kind}, std::move(*call), actions);
+        }
+    }
+}
+
+TimePoint nextStoreCallAt(const State &state)
+{
+    TimePoint next = TimePoint::max();
+    for (const TableKind kind : AllTables) {
+        const KnownTable &table = tableOf(state, kind);
+        if (table.m_isRead) {
+            next = std::min(next, Store::nextCallAt(table.m_follower));
+        } else if (table.m_shared.m_confirmedAt) {
+            const bool isConfiguration = kind == TableKind::Configuration;
+            const Duration stale = isConfiguration ? state.m_settings.m_freshness.m_stale : state.m_settings.m_freshness.m_staleServers;
+            next = std::min(next, *table.m_shared.m_confirmedAt + stale + state.m_staleDelay + Duration(1000));
+        }
+    }
+    return next;
+}
+
+std::optional<Duration> configurationAge(const State &state, TimePoint now)
+{
+    return state.m_catalogue ? ageOf(tableOf(state, TableKind::Configuration).m_shared, now) : std::nullopt;
+}
+
+bool mayServeWorkspaces(const State &state, TimePoint now)
+{
+    const auto age = configurationAge(state, now);
+    return age && *age <= state.m_settings.m_freshness.m_keys;
+}
+
+}
--- /dev/null
+++ b/src/loop/peersocket.cpp
@@ -0,0 +1,66 @@
+#include <ragwortrelay/loop/peersocket.h>
+#include <ragwortrelay/wire/datagram.h>
+
+namespace RagwortRelay::Loop {
+
+PeerSocket::PeerSocket(asio::io_context &context, std::string listen, EventHandler handler)
+    : m_listen(std::move(listen)), m_handler(std::move(handler)), m_socket(context)
+{
+}
+
+void PeerSocket::start()
+{
+    const auto endpoint = endpointOf<udp>(m_listen);
+    m_socket.open(endpoint.protocol());
+    m_socket.bind(endpoint);
+    m_socket.non_blocking(true);
+    m_buffer.resize(BufferSize);
+    receive();
+}
+
+void PeerSocket::setSecret(const std::string &secret)
+{
+    m_secret = secret;
+}
+
+void PeerSocket::send(const std::string &address, const Fleet::Datagram &datagram)
+{
+    if (m_secret.empty()) {
+        return;
+    }
+    const auto endpoint = endpointOf<udp>(address);
+    for (const std::string &bytes : Wire::encodeDatagrams(datagram, m_secret)) {
+        ErrorCode ignored; // As good as lost on the way, which the sender must bear anyway.
+        m_socket.send_to(asio::buffer(bytes), endpoint, 0, ignored);
+    }
+}
+
+std::uint64_t PeerSocket::refused() const
+{
+    return m_refused;
+}
+
+void PeerSocket::receive()
+{
+    m_socket.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const ErrorCode &error, std::size_t size) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            onReceived(size);
+        }
+        receive();
+    });
+}
+
+void PeerSocket::onReceived(std::size_t size)
+{
+    const auto datagram = Wire::decodeDatagram(std::string_view(m_buffer).substr(0, size), m_secret);
+    if (!datagram || m_secret.empty()) {
+        ++m_refused;
+        return;
+    }
+    m_handler(Host::PeerSpoke{m_sender.address().to_string() + ':' + std::to_string(m_sender.port()), *datagram});
+}
+
+}
--- a/src/loop/relay.cpp
+++ b/src/loop/relay.cpp
@@ -1,4 +1,5 @@
 #include <ragwortrelay/loop/clock.h>
+#include <ragwortrelay/loop/peersocket.h>
 #include <ragwortrelay/loop/relay.h>
 #include <ragwortrelay/reporting/counters.h>
 
@@ -48,10 +49,11 @@
         , m_context(1)
         , m_timer(m_context)
         , m_signals(m_context, SIGTERM, SIGINT)
-        , m_state(Host::makeState(settings.m_host, surroundings.m_source, randomSeed()))
+        , m_state(Host::makeState(settings.m_host, surroundings.m_source, randomSeed(), randomSeed()))
         , m_callers(m_context, settings.m_callers, surroundings.m_dialect, [this](const Host::Event &event) { handle(event); })
         , m_backends(m_context, settings.m_backends, surroundings.m_dialect, [this](const Host::Event &event) { handle(event); })
         , m_store(m_context, settings.m_store, surroundings.m_storeFormat, [this](const Host::Event &event) { handle(event); })
+        , m_peers(m_context, settings.m_host.m_peerAddress, [this](const Host::Event &event) { handle(event); })
         , m_readiness(m_context,
                       statusFrontAt(settings.m_status.m_readinessListen),
                       surroundings.m_dialect,
@@ -70,6 +72,9 @@
         if (!m_settings.m_status.m_metricsListen.empty()) {
             m_metrics.start();
         }
+        if (!m_settings.m_host.m_peerAddress.empty()) {
+            m_peers.start();
+        }
         m_callers.start();
         m_log.log(Reporting::LogLine("started").with("callers", m_callers.address()).with("domain", m_settings.m_host.m_domain.text()));
         handle(Host::Ticked{});
@@ -156,6 +161,16 @@
         m_store.call(call.m_call, call.m_request);
     }
 
+    void performTyped(const Host::SendPeer &message)
+    {
+        m_peers.send(message.m_address, message.m_datagram);
+    }
+
+    void performTyped(const Host::SetPeerSecret &secret)
+    {
+        m_peers.setSecret(secret.m_secret);
+    }
+
     void performTyped(const Host::DropConnections &drop)
     {
         m_backends.dropConnections(drop.m_server);
@@ -228,6 +243,7 @@
         Reporting::Counters counters = m_state.m_counters;
         Reporting::count(counters, "log_lines_dropped", m_log.dropped());
         Reporting::count(counters, "backend_connections_opened", m_backends.opened());
+        Reporting::count(counters, "peer_datagrams_refused", m_peers.refused());
         return Reporting::exposition(counters);
     }
 
@@ -240,6 +256,7 @@
     CallerFront m_callers;
     BackendPool m_backends;
     StoreClient m_store;
+    PeerSocket m_peers;
     CallerFront m_readiness;
     CallerFront m_metrics;
     TimePoint m_timerDue = TimePoint::max();
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -11,7 +11,7 @@
 
 DrawAnswer refusal(const Draw &draw, RefusalReason reason, Duration retryAfter)
 {
-    return {draw.m_number, std::nullopt, reason, std::max(LeastRetryAfter, retryAfter)};
+    return {draw.m_number, std::nullopt, {}, reason, std::max(LeastRetryAfter, retryAfter)};
 }
 
 DrawAnswer grant(Scheduler &scheduler, const Draw &draw, const ServerId &server, const Asker &asker, TimePoint now)
@@ -19,7 +19,7 @@
     const DrawId id{asker.m_host, draw.m_number};
     startDraw(scheduler.m_book, scheduler.m_settings.m_pick, id, server, asker, now);
     scheduler.m_granted[id] = {server, draw.m_service, now};
-    return {draw.m_number, server, {}, {}};
+    return {draw.m_number, server, {}, {}, {}};
 }
 
 Duration usualTimeOf(const Scheduler &scheduler, const ServiceId &service)
@@ -214,6 +214,25 @@
     }
 }
 
+bool isQueued(const Scheduler &scheduler, const DrawId &id)
+{
+    return std::ranges::any_of(scheduler.m_queues, [&](const auto &entry) {
+        return std::ranges::any_of(entry.second.m_draws,
+                                   [&](const QueuedDraw &queued) { return queued.m_asker.m_host == id.m_host && queued.m_draw.m_number == id.m_number; });
+    });
+}
+
+void reconcile(Scheduler &scheduler, const HostId &host, const std::vector<std::uint64_t> &running, TimePoint startedBefore)
+{
+    const auto first = scheduler.m_granted.lower_bound({host, 0});
+    for (auto granted = first; granted != scheduler.m_granted.end() && granted->first.m_host == host;) {
+        const bool isNamed = std::ranges::find(running, granted->first.m_number) != running.end();
+        const bool isLost = granted->second.m_at < startedBefore && !isNamed;
+        granted = isLost ? scheduler.m_granted.erase(granted) : std::next(granted);
+    }
+    reconcile(scheduler.m_book, host, running, startedBefore);
+}
+
 void finish(Scheduler &scheduler, const DrawDone &done, const Asker &asker, TimePoint now)
 {
     const auto granted = scheduler.m_granted.find({asker.m_host, done.m_number});
--- a/src/settings/relaysettings.cpp
+++ b/src/settings/relaysettings.cpp
@@ -16,9 +16,12 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-HostSettings readHost(YamlReader reader)
+HostSettings readHost(YamlReader reader, double &capacity)
 {
+    constexpr double LeastCapacity = 0.001;
+    constexpr double MostCapacity = 1000.0;
     HostSettings settings;
+    capacity = reader.fraction("capacity", capacity, LeastCapacity, MostCapacity);
     settings.m_name = HostId(reader.text("name", Presence::Required));
     settings.m_domain = FailureDomainId(reader.text("failure-domain", Presence::Required));
     reader.reportUnknownKeys();
@@ -47,6 +50,14 @@
     return settings;
 }
 
+PeerEndpoint readPeers(YamlReader reader)
+{
+    PeerEndpoint settings;
+    settings.m_listen = reader.address("listen", Presence::Optional);
+    reader.reportUnknownKeys();
+    return settings;
+}
+
 OriginSettings readOrigin(YamlReader reader)
 {
     OriginSettings settings;
@@ -90,12 +101,13 @@
 RelaySettings readAll(YamlReader &root, std::chrono::system_clock::time_point now)
 {
     RelaySettings settings;
-    settings.m_host = readHost(root.section("host", Presence::Required));
+    settings.m_host = readHost(root.section("host", Presence::Required), settings.m_capacity);
     settings.m_callers = detail::readCallers(root.section("callers", Presence::Required), now);
     settings.m_backends = detail::readBackends(root.section("backends", Presence::Optional), now);
     settings.m_readiness = readEndpoint(root.section("readiness", Presence::Required), Presence::Required, "/ragwortrelay/ready");
     settings.m_metrics = readEndpoint(root.section("metrics", Presence::Optional), Presence::Optional, "/ragwortrelay/metrics");
     settings.m_store = readStore(root.section("store", Presence::Required));
+    settings.m_peers = readPeers(root.section("peers", Presence::Optional));
     settings.m_configuration = readOrigin(root.section("configuration", Presence::Optional));
     settings.m_retries = readRetries(root.section("retries", Presence::Optional));
     settings.m_floor = readFloor(root.section("health", Presence::Optional), settings.m_floor);
--- /dev/null
+++ b/src/wire/datagram.cpp
@@ -0,0 +1,127 @@
+#include <ragwortrelay/detail/wire/fields.h>
+#include <ragwortrelay/wire/datagram.h>
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <array>
+
+namespace RagwortRelay::Wire {
+
+namespace {
+
+constexpr std::uint32_t DatagramFormat = 1; ///< Raised when a release can't read what earlier ones send.
+constexpr std::size_t DatagramFields = 4;
+constexpr std::size_t SealBytes = 8;
+constexpr std::size_t LargestDatagram = 65536;
+
+/// Source: RFC 2104, with SHA-256, cut to its first bytes.
+std::string sealOf(std::string_view bytes, const std::string &secret)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int size = 0;
+    HMAC(EVP_sha256(),
+         secret.data(),
+         static_cast<int>(secret.size()),
+         reinterpret_cast<const unsigned char *>(bytes.data()),
+         bytes.size(),
+         digest.data(),
+         &size);
+    return {reinterpret_cast<const char *>(digest.data()), SealBytes};
+}
+
+std::string packMessage(const Fleet::Message &message)
+{
+    msgpack::sbuffer buffer;
+    detail::Packer packer(buffer);
+    detail::packVariant(packer, message);
+    return {buffer.data(), buffer.size()};
+}
+
+std::string seal(const Fleet::Datagram &datagram, const std::vector<std::string> &messages, const std::string &secret)
+{
+    msgpack::sbuffer buffer;
+    detail::Packer packer(buffer);
+    packer.pack_array(DatagramFields);
+    detail::pack(packer, DatagramFormat);
+    detail::pack(packer, datagram.m_from);
+    detail::pack(packer, datagram.m_incarnation);
+    packer.pack_array(static_cast<std::uint32_t>(messages.size()));
+    std::string bytes(buffer.data(), buffer.size());
+    for (const std::string &message : messages) {
+        bytes += message;
+    }
+    return bytes + sealOf(bytes, secret);
+}
+
+msgpack::unpack_limit unpackLimit()
+{
+    constexpr std::size_t DeepestNesting = 16;
+    // No part of a datagram can hold more elements than the datagram has bytes.
+    return {LargestDatagram, LargestDatagram, LargestDatagram, LargestDatagram, LargestDatagram, DeepestNesting};
+}
+
+Fleet::Datagram unpackDatagram(std::string_view bytes)
+{
+    std::size_t end = 0;
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), end, nullptr, nullptr, unpackLimit());
+    const auto [fields, size] = detail::arrayOf(handle.get());
+    if (size != DatagramFields || end != bytes.size()) {
+        throw detail::MalformedMessage("not a datagram of the fleet");
+    }
+    if (fields[0].as<std::uint32_t>() != DatagramFormat) {
+        throw detail::MalformedMessage("unknown version of the format");
+    }
+    Fleet::Datagram datagram;
+    detail::unpack(fields[1], datagram.m_from);
+    detail::unpack(fields[2], datagram.m_incarnation);
+    const auto [messages, count] = detail::arrayOf(fields[3]);
+    datagram.m_messages.resize(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        detail::unpackVariant(messages[i], datagram.m_messages[i]);
+    }
+    return datagram;
+}
+
+}
+
+std::vector<std::string> encodeDatagrams(const Fleet::Datagram &datagram, const std::string &secret)
+{
+    std::vector<std::string> result;
+    std::vector<std::string> messages;
+    std::size_t size = 0;
+    for (const Fleet::Message &message : datagram.m_messages) {
+        std::string packed = packMessage(message);
+        if (!messages.empty() && size + packed.size() > UsualDatagram) {
+            result.push_back(seal(datagram, messages, secret));
+            messages.clear();
+            size = 0;
+        }
+        size += packed.size();
+        messages.push_back(std::move(packed));
+    }
+    if (!messages.empty()) {
+        result.push_back(seal(datagram, messages, secret));
+    }
+    return result;
+}
+
+tl::expected<Fleet::Datagram, Error> decodeDatagram(std::string_view bytes, const std::string &secret)
+{
+    if (bytes.size() <= SealBytes) {
+        return tl::unexpected(Error{ErrorId::PeerMalformedMessage, "the datagram is too short"});
+    }
+    const std::string_view content = bytes.substr(0, bytes.size() - SealBytes);
+    const std::string_view given = bytes.substr(content.size());
+    if (CRYPTO_memcmp(sealOf(content, secret).data(), given.data(), SealBytes) != 0) {
+        return tl::unexpected(Error{ErrorId::PeerMalformedMessage, "the datagram is not sealed with the secret of the fleet"});
+    }
+    try {
+        return unpackDatagram(content);
+    } catch (const std::exception &exception) {
+        return tl::unexpected(Error{ErrorId::PeerMalformedMessage, exception.what()});
+    }
+}
+
+}
