--- a/include/ragwortrelay/detail/host/duties.h
+++ b/include/ragwortrelay/detail/host/duties.h
@@ -69,10 +69,16 @@
 /// Does what is due by time: pulses, shares of limits, seats.
 void tickFleet(State &state, TimePoint now, Actions &actions);
 
-/// Tells the lead, or the followers, of a confirmation that they lack.
-void tellConfirmation(State &state, TimePoint now);
+/// Tells the lead what it lacks: a fresh confirmation, or that this host can't read the store either.
+void tellConfirmation(State &state, bool hasJustFailed, TimePoint now);
 
-/// Tells the hosts that follow this one of changes that they lack.
+/// As a lead that can't read the store, asks followers to do it, others when those can't either.
+void manageReaders(State &state, TimePoint now, Actions &actions);
+
+/// Returns when manageReaders() has something to do at the latest.
+TimePoint nextReadersAt(const State &state);
+
+/// Tells the hosts that follow this one, or the lead, of changes that they lack.
 void spreadNews(State &state, Fleet::TableKind kind, TimePoint now);
 
 /// Adds a message for another host.
--- a/include/ragwortrelay/fleet/leadership.h
+++ b/include/ragwortrelay/fleet/leadership.h
@@ -24,7 +24,6 @@
     Duration m_forgetAfter{std::chrono::milliseconds(3500)}; ///< A follower that was not heard of for so long is forgotten.
     Duration m_helloInterval{std::chrono::milliseconds(1000)}; ///< Between two rounds in which a lead looks for other leads.
     double m_heldBack = 0.5; ///< Of its part that a host uses while an earlier lead may still use it.
-    std::size_t m_readers = 2; ///< Followers that are asked to follow the store beside the lead.
     std::size_t m_hellos = 3; ///< Hosts that a lead asks for other leads in one round.
 
     friend bool operator==(const LeadershipSettings &, const LeadershipSettings &) = default;
@@ -105,9 +104,6 @@
 /// Returns how many followers have lent their part.
 std::size_t followersOf(const Leadership &leadership, TimePoint now);
 
-/// Tells whether a follower is to follow the store too.
-bool isReader(const Leadership &leadership, const HostId &follower);
-
 /// Returns when tick() has to be called at the latest.
 TimePoint nextTickAt(const Leadership &leadership);
 
--- a/include/ragwortrelay/fleet/messages.h
+++ b/include/ragwortrelay/fleet/messages.h
@@ -65,7 +65,8 @@
     double m_lent = 0.0; ///< Of the sender's part of all limits, 0 to 1; lent to the lead that it names.
     std::uint32_t m_followers = 0; ///< Of a sender that leads.
     bool m_wantsAnswer = false;
-    bool m_reader = false; ///< Of a sender that leads: the receiver is to follow the store too.
+    bool m_reader = false; ///< Of a sender that leads: the receiver is to follow the store, since the sender can't.
+    bool m_storeFails = false; ///< The sender follows the store and gets no use of it.
     std::vector<TableStand> m_tables; ///< By TableKind.
     std::vector<std::uint64_t> m_running; ///< Draws of a sender that follows, whose attempts run.
     std::vector<ServerNote> m_notes; ///< Of a sender that leads.
@@ -84,6 +85,7 @@
                         self.m_followers,
                         self.m_wantsAnswer,
                         self.m_reader,
+                        self.m_storeFails,
                         self.m_tables,
                         self.m_running,
                         self.m_notes);
--- a/include/ragwortrelay/fleet/sharedtable.h
+++ b/include/ragwortrelay/fleet/sharedtable.h
@@ -37,6 +37,9 @@
 /// @param outcome of the call that was answered last
 bool takeFromStore(SharedTable &table, const Store::Follower &follower, Store::FollowOutcome outcome);
 
+/// Takes in one row as it stands in the store. Returns whether it is news. Not thread-safe on one table.
+bool takeRow(SharedTable &table, const Store::Row &row);
+
 /// Makes a follower go on from what the table holds. Not thread-safe on one follower.
 void resume(Store::Follower &follower, const SharedTable &table);
 
--- a/include/ragwortrelay/host/event.h
+++ b/include/ragwortrelay/host/event.h
@@ -3,6 +3,7 @@
 #include <ragwortrelay/core/identifier.h>
 #include <ragwortrelay/dispatch/outcome.h>
 #include <ragwortrelay/fleet/messages.h>
+#include <ragwortrelay/host/settings.h>
 #include <ragwortrelay/http/dialect.h>
 #include <ragwortrelay/store/store.h>
 
@@ -90,6 +91,13 @@
     friend bool operator==(const PeerSpoke &, const PeerSpoke &) = default;
 };
 
+/// The settings were read anew. What can't change while the process runs stays as it is.
+struct SettingsChanged {
+    HostSettings m_settings;
+
+    friend bool operator==(const SettingsChanged &, const SettingsChanged &) = default;
+};
+
 /// The process was told to stop.
 struct StopAsked {
     friend bool operator==(const StopAsked &, const StopAsked &) = default;
@@ -100,6 +108,16 @@
     friend bool operator==(const Ticked &, const Ticked &) = default;
 };
 
-using Event = std::variant<RequestArrived, CallerGone, AttemptAnswered, AttemptFailed, AttemptEnded, ServerCloses, StoreAnswered, PeerSpoke, StopAsked, Ticked>;
+using Event = std::variant<RequestArrived,
+                           CallerGone,
+                           AttemptAnswered,
+                           AttemptFailed,
+                           AttemptEnded,
+                           ServerCloses,
+                           StoreAnswered,
+                           PeerSpoke,
+                           SettingsChanged,
+                           StopAsked,
+                           Ticked>;
 
 }
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -7,6 +7,7 @@
 #include <ragwortrelay/fleet/sharedtable.h>
 #include <ragwortrelay/host/action.h>
 #include <ragwortrelay/host/event.h>
+#include <ragwortrelay/host/settings.h>
 #include <ragwortrelay/host/source.h>
 #include <ragwortrelay/reporting/counters.h>
 #include <ragwortrelay/scheduling/scheduler.h>
@@ -23,47 +24,6 @@
 
 namespace RagwortRelay::Host {
 
-/// How a host asks its lead for servers.
-struct DrawSettings {
-    Duration m_resendAfter{std::chrono::milliseconds(15)}; ///< A draw that the lead has not answered is sent once more.
-    Duration m_decideAfter{std::chrono::milliseconds(40)}; ///< Then the host decides by itself.
-    Duration m_askInterval{std::chrono::milliseconds(150)}; ///< Between two questions about a draw that waits at the lead.
-
-    friend bool operator==(const DrawSettings &, const DrawSettings &) = default;
-};
-
-/// How old tables may be.
-struct FreshnessSettings {
-    Duration m_keys{std::chrono::milliseconds(4700)}; ///< Requests of workspaces run only with a configuration no older than this.
-    Duration m_denial{std::chrono::milliseconds(1900)}; ///< Only so fresh a configuration tells that a key or route isn't there.
-    Duration m_stale{std::chrono::milliseconds(2300)}; ///< A host whose configuration is older asks the store itself.
-    Duration m_staleServers{std::chrono::milliseconds(4500)}; ///< The same for the servers and the hosts.
-    Duration m_staleSpread{std::chrono::milliseconds(1200)}; ///< Hosts start to ask within this time, so that not all ask at once.
-    Duration m_worthTelling{std::chrono::milliseconds(900)}; ///< A confirmation that is newer by this is told at once.
-
-    friend bool operator==(const FreshnessSettings &, const FreshnessSettings &) = default;
-};
-
-/// How a host behaves.
-struct HostSettings {
-    HostId m_host;
-    FailureDomainId m_domain;
-    std::string m_peerAddress; ///< `IP:PORT`; empty for a host that works alone.
-    double m_capacity = 1.0; ///< Of its processor, relative to other hosts.
-    FreshnessSettings m_freshness;
-    DrawSettings m_draws;
-    Fleet::LeadershipSettings m_leadership;
-    Duration m_answerGrace{std::chrono::milliseconds(60)}; ///< After its deadline an answer that is on its way is still waited for.
-    Duration m_balancerLag{std::chrono::milliseconds(2500)}; ///< A stopping host goes on serving for so long.
-    Duration m_stopLimit{std::chrono::milliseconds(5500)}; ///< Longest wait of a stopping host for requests in flight.
-    std::uint32_t m_unsentAtMost = 4; ///< Attempts of one request that reached no server.
-    Scheduling::SchedulerSettings m_scheduling;
-    std::chrono::milliseconds m_configurationWait{900}; ///< Of one call that follows the configuration.
-    std::chrono::milliseconds m_tableWait{2000}; ///< Of one call that follows another table.
-
-    friend bool operator==(const HostSettings &, const HostSettings &) = default;
-};
-
 /// An attempt that runs.
 struct Attempt {
     ExchangeId m_exchange = 0; ///< 0 once nobody waits for it.
@@ -135,7 +95,7 @@
     Fleet::SharedTable m_shared;
     Store::Follower m_follower;
     bool m_isRead = false; ///< This host follows it in the store at present.
-    Duration m_leadAge{}; ///< How old the lead said its state is.
+    Fleet::TableStand m_leadStand; ///< How far the lead knows it, by its last pulse.
 };
 
 /// What a host has registered about itself.
@@ -144,6 +104,18 @@
     TimePoint m_nextAt{}; ///< No call before.
 };
 
+/// A follower that reads the store for a lead that can't.
+struct Reader {
+    TimePoint m_appointedAt;
+    std::optional<TimePoint> m_provenAt; ///< When it told of something fresh last.
+};
+
+/// Followers that read the store for a lead that can't.
+struct Readers {
+    std::map<HostId, Reader> m_appointed;
+    std::map<HostId, TimePoint> m_leftAlone; ///< Those that could not read either, until when.
+};
+
 /// State of one host. The present time and all input reach it as arguments of handle().
 struct State {
     HostSettings m_settings;
@@ -156,8 +128,10 @@
     Fleet::Roster m_roster;
     Fleet::Leadership m_leadership;
     std::map<HostId, std::vector<Fleet::TableStand>> m_stands; ///< How far followers know the tables.
+    Readers m_readers;
     std::string m_secret; ///< Of the fleet.
     Registration m_registration;
+    TimePoint m_lastTick{}; ///< Last time that the duties of the fleet were done.
     TimePoint m_leadsSince{}; ///< Since when this host leads.
     TimePoint m_unregisterAt{}; ///< Next look at seats of hosts that are gone.
     Duration m_staleDelay{}; ///< Drawn at random, of FreshnessSettings::m_staleSpread.
--- a/include/ragwortrelay/loop/relay.h
+++ b/include/ragwortrelay/loop/relay.h
@@ -8,7 +8,9 @@
 #include <ragwortrelay/loop/log.h>
 #include <ragwortrelay/loop/storeclient.h>
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace RagwortRelay::Loop {
@@ -30,6 +32,13 @@
     StatusFrontSettings m_status;
 };
 
+/// The settings file, which may change while the host runs.
+struct SettingsFile {
+    std::string m_name; ///< Empty for none.
+    /// Reads it; reports what is wrong with it to the log and returns nothing then.
+    std::function<std::optional<Host::HostSettings>(LogDuty &log)> m_read;
+};
+
 /// What the host speaks with its surroundings.
 struct Surroundings {
     Host::Source m_source;
@@ -42,7 +51,7 @@
 {
 public:
     /// @param log must outlive the relay
-    Relay(const RelaySettings &settings, const Surroundings &surroundings, LogDuty &log);
+    Relay(const RelaySettings &settings, const SettingsFile &file, const Surroundings &surroundings, LogDuty &log);
     ~Relay();
     Relay(const Relay &) = delete;
     Relay &operator=(const Relay &) = delete;
--- a/include/ragwortrelay/loop/storeclient.h
+++ b/include/ragwortrelay/loop/storeclient.h
@@ -34,7 +34,7 @@
 struct StoreClientSettings {
     std::string m_address; ///< `IP:PORT`
     Duration m_connectTimeout{std::chrono::milliseconds(500)};
-    Duration m_timeout{std::chrono::milliseconds(1500)}; ///< Of an answer, beside the time that the call itself asks the store to wait.
+    Duration m_timeout{std::chrono::milliseconds(900)}; ///< Of an answer, beside the time that the call itself asks the store to wait.
     Vigilance m_vigilance{1500, 1, 1, 2};
 };
 
--- a/include/ragwortrelay/scheduling/serverbook.h
+++ b/include/ragwortrelay/scheduling/serverbook.h
@@ -31,6 +31,10 @@
     double m_avoidAbove = 0.3; ///< Probability of sickness from which a server gets no more than single trials.
     double m_floor = 0.7; ///< Share of the usable servers that is never avoided.
     Duration m_trialInterval{std::chrono::milliseconds(700)}; ///< Between two trial requests at an avoided server.
+    double m_failingAbove = 0.07; ///< Share of failures from which a service counts as failing.
+    double m_untouchedAtMost = 0.2; ///< Share of the usable servers of a failing service that may get nothing for m_untouchedAfter.
+    Duration m_untouchedAfter{std::chrono::milliseconds(1500)};
+    Duration m_failureFading{std::chrono::milliseconds(2000)}; ///< Outcomes lose all but 1/e of their weight in the share of failures in this time.
     Duration m_shedHold{std::chrono::milliseconds(60)}; ///< A server that shed counts as full for so long.
     Duration m_drainHold{std::chrono::seconds(20)}; ///< A server that said it is leaving gets nothing for so long, unless it starts anew.
     std::size_t m_candidatesAtMost = 48; ///< Servers that are looked at for one pick.
@@ -57,12 +61,16 @@
     std::optional<TimePoint> m_leavingUntil; ///< Set when it said that it is leaving.
     TimePoint m_warmAt; ///< End of its slow start.
     TimePoint m_triedAt{}; ///< Last start of a request while it was avoided.
+    TimePoint m_usedAt{}; ///< Last start of a request.
 };
 
 /// The servers of one service.
 struct ServiceState {
     std::vector<ServerId> m_servers; ///< In the order of their names.
     Duration m_usualTime{std::chrono::milliseconds(150)}; ///< Of an answer, as a moving average.
+    double m_outcomes = 0.0; ///< Of attempts, fading.
+    double m_failures = 0.0; ///< Among them.
+    TimePoint m_outcomesAt{}; ///< When both were updated.
 };
 
 /// All backend servers, with what is known of their use and health.
--- a/include/ragwortrelay/settings/relaysettings.h
+++ b/include/ragwortrelay/settings/relaysettings.h
@@ -16,7 +16,7 @@
 struct StoreSettings {
     std::string m_address; ///< `IP:PORT`
     Duration m_connectTimeout{std::chrono::milliseconds(500)};
-    Duration m_timeout{std::chrono::milliseconds(1500)};
+    Duration m_timeout{std::chrono::milliseconds(900)};
 
     friend bool operator==(const StoreSettings &, const StoreSettings &) = default;
 };
--- a/include/ragwortrelay/store/follower.h
+++ b/include/ragwortrelay/store/follower.h
@@ -25,6 +25,7 @@
 /// How a table is followed.
 struct FollowerSettings {
     std::chrono::milliseconds m_wait{1000}; ///< Of one call, when nothing changes.
+    Duration m_interval{}; ///< Least time between two calls, so that many changes are read together.
     Duration m_firstPause{std::chrono::milliseconds(50)}; ///< After a call that failed; doubled up to m_longestPause.
     Duration m_longestPause{std::chrono::milliseconds(800)};
 
@@ -41,6 +42,7 @@
     StoreTime m_readingTime{}; ///< Of the first of these calls.
     Version m_version = 0; ///< Up to which the rows are known; 0 before the first read.
     bool m_mustRead = true; ///< The table must be read as a whole.
+    bool m_asksAtOnce = false; ///< The next call doesn't wait for a change, to see whether the store can be read.
     bool m_isRunning = false; ///< A call is under way.
     TimePoint m_sentAt; ///< Of the call that runs.
     TimePoint m_nextAt{}; ///< No call before.
--- a/src/cli/relaycommand.cpp
+++ b/src/cli/relaycommand.cpp
@@ -59,6 +59,20 @@
     return relay;
 }
 
+Loop::SettingsFile settingsFile(const std::string &name)
+{
+    return {name, [name](Loop::LogDuty &log) -> std::optional<Host::HostSettings> {
+                const auto settings = Settings::loadRelaySettings(name);
+                if (settings) {
+                    return hostSettingsFrom(*settings);
+                }
+                for (const Finding &finding : settings.error()) {
+                    log.log(Reporting::LogLine("settings-refused", Reporting::Severity::Error).with("finding", toString(finding)));
+                }
+                return std::nullopt;
+            }};
+}
+
 ExitCode relay(Arguments arguments)
 {
     TCLAP::CmdLine commandLine("Runs a host on the users' platform", ' ', Version);
@@ -71,7 +85,7 @@
     }
     Loop::LogDuty log(settings->m_host.m_name.text(), severityFrom(settings->m_log.m_level));
     log.start();
-    Loop::Relay relay(relaySettingsFrom(*settings), Platform::platformSurroundings(), log);
+    Loop::Relay relay(relaySettingsFrom(*settings), settingsFile(file.getValue()), Platform::platformSurroundings(), log);
     relay.run();
     log.stop();
     return ExitCode::Done;
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -286,23 +286,6 @@
     return static_cast<std::size_t>(std::ranges::count_if(leadership.m_followers, [&](const auto &entry) { return now < entry.second.m_lentUntil; }));
 }
 
-bool isReader(const Leadership &leadership, const HostId &follower)
-{
-    std::size_t readers = 0;
-    for (const HostId &host : leadership.m_ranking) {
-        if (readers == leadership.m_settings.m_readers) {
-            return false;
-        }
-        if (leadership.m_followers.contains(host)) {
-            ++readers;
-            if (host == follower) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
 TimePoint nextTickAt(const Leadership &leadership)
 {
     if (!isLeading(leadership)) {
--- a/src/fleet/sharedtable.cpp
+++ b/src/fleet/sharedtable.cpp
@@ -69,18 +69,6 @@
     return rows;
 }
 
-/// Takes in one row; an older one changes nothing.
-bool takeRow(SharedTable &table, const Store::Row &row)
-{
-    Store::Row &known = table.m_rows[row.m_key.m_name];
-    if (known.m_version >= row.m_version) {
-        return false;
-    }
-    known = row;
-    table.m_changed = std::max(table.m_changed, row.m_version);
-    return true;
-}
-
 /// Marks the rows as erased that a whole table doesn't have.
 bool eraseOthers(SharedTable &table, const std::map<std::string, Store::Row> &whole, std::uint64_t version)
 {
@@ -192,6 +180,17 @@
     return changed;
 }
 
+bool takeRow(SharedTable &table, const Store::Row &row)
+{
+    Store::Row &known = table.m_rows[row.m_key.m_name];
+    if (known.m_version >= row.m_version) {
+        return false;
+    }
+    known = row;
+    table.m_changed = std::max(table.m_changed, row.m_version);
+    return true;
+}
+
 void resume(Store::Follower &follower, const SharedTable &table)
 {
     if (follower.m_isRunning || table.m_version <= follower.m_version) {
--- a/src/host/fleet.cpp
+++ b/src/host/fleet.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/detail/host/duties.h>
 
 #include <algorithm>
+#include <array>
 
 namespace RagwortRelay::Host::detail {
 
@@ -56,8 +57,9 @@
     Pulse pulse = Fleet::makePulse(state.m_leadership, order, now);
     pulse.m_domain = state.m_settings.m_domain;
     pulse.m_tables = standsOf(state, now);
+    pulse.m_storeFails = std::ranges::any_of(state.m_tables, [](const KnownTable &table) { return table.m_isRead && table.m_follower.m_failures > 0; });
     if (Fleet::isLeading(state.m_leadership)) {
-        pulse.m_reader = Fleet::isReader(state.m_leadership, order.m_host);
+        pulse.m_reader = state.m_readers.m_appointed.contains(order.m_host);
         if (state.m_leadership.m_followers.contains(order.m_host)) {
             pulse.m_notes = notesOf(state, now);
         }
@@ -98,7 +100,7 @@
             Fleet::takeConfirmation(table.m_shared, theirs, *writtenAt - theirs.m_age);
         }
         if (from == state.m_leadership.m_lead) {
-            table.m_leadAge = theirs.m_age;
+            table.m_leadStand = theirs;
         }
         sendNews(state, from, static_cast<TableKind>(i), theirs);
     }
@@ -125,6 +127,23 @@
     }
 }
 
+/// Takes in whether a follower that is to read the store can.
+void noteReader(State &state, const HostId &from, const Pulse &pulse, TimePoint now)
+{
+    const FreshnessSettings &freshness = state.m_settings.m_freshness;
+    const auto reader = state.m_readers.m_appointed.find(from);
+    if (reader == state.m_readers.m_appointed.end()) {
+        return;
+    }
+    const bool isFresh = !pulse.m_tables.empty() && pulse.m_tables.front().m_age < freshness.m_ownStale;
+    if (pulse.m_storeFails) {
+        state.m_readers.m_leftAlone[from] = now + freshness.m_readerPause;
+        state.m_readers.m_appointed.erase(reader);
+    } else if (isFresh) {
+        reader->second.m_provenAt = now;
+    }
+}
+
 void onPulse(State &state, const HostId &from, Fleet::Incarnation incarnation, const Pulse &pulse, TimePoint now, Actions &actions)
 {
     const HostId leadBefore = state.m_leadership.m_lead;
@@ -141,6 +160,7 @@
     if (pulse.m_lead == state.m_settings.m_host) {
         constexpr Duration JustStarted = std::chrono::milliseconds(300);
         state.m_stands[from] = pulse.m_tables;
+        noteReader(state, from, pulse, now);
         Scheduling::reconcile(state.m_scheduler, from, pulse.m_running, now - JustStarted);
     }
     if (wantsAnswer) {
@@ -209,25 +229,96 @@
     }
 }
 
-void tellConfirmation(State &state, TimePoint now)
+void tellConfirmation(State &state, bool hasJustFailed, TimePoint now)
 {
-    const auto age = configurationAge(state, now);
+    if (Fleet::isLeading(state.m_leadership) || !state.m_leadership.m_answeredAt) {
+        return;
+    }
     const Duration worthTelling = state.m_settings.m_freshness.m_worthTelling;
-    if (!age) {
+    const bool isFresher = std::ranges::any_of(state.m_tables, [&](const KnownTable &table) {
+        const bool isConfirmed = table.m_isRead && table.m_shared.m_confirmedAt;
+        return isConfirmed && table.m_leadStand.m_age > now - *table.m_shared.m_confirmedAt + worthTelling;
+    });
+    if (isFresher || hasJustFailed) {
+        sendPulse(state, {state.m_leadership.m_lead, true}, now);
+    }
+}
+
+namespace {
+
+/// Tells whether this host, as a lead, gets no use of the store.
+bool isCutOff(const State &state, TimePoint now)
+{
+    return std::ranges::any_of(std::array{TableKind::Configuration, TableKind::Servers}, [&](TableKind kind) {
+        const KnownTable &table = tableOf(state, kind);
+        const auto &confirmedAt = table.m_follower.m_confirmedAt;
+        const bool isOld = confirmedAt && now - *confirmedAt > state.m_settings.m_freshness.m_ownStale;
+        return table.m_isRead && (table.m_follower.m_failures > 0 || isOld);
+    });
+}
+
+/// Dismisses readers that have had time and told of nothing fresh.
+void dismissUseless(State &state, TimePoint now)
+{
+    const FreshnessSettings &freshness = state.m_settings.m_freshness;
+    std::erase_if(state.m_readers.m_appointed, [&](const auto &entry) {
+        const Reader &reader = entry.second;
+        const TimePoint usefulUntil = reader.m_provenAt ? *reader.m_provenAt + freshness.m_readerSilence : reader.m_appointedAt + freshness.m_readerLimit;
+        const bool isUseless = now >= usefulUntil || !state.m_leadership.m_followers.contains(entry.first);
+        if (isUseless) {
+            state.m_readers.m_leftAlone[entry.first] = now + freshness.m_readerPause;
+        }
+        return isUseless;
+    });
+}
+
+}
+
+void manageReaders(State &state, TimePoint now, Actions &actions)
+{
+    Readers &readers = state.m_readers;
+    if (!Fleet::isLeading(state.m_leadership) || !isCutOff(state, now)) {
+        readers.m_appointed.clear();
         return;
     }
+    std::erase_if(readers.m_leftAlone, [&](const auto &entry) { return entry.second <= now; });
+    dismissUseless(state, now);
+    for (const HostId &host : state.m_leadership.m_ranking) {
+        if (readers.m_appointed.size() >= state.m_settings.m_freshness.m_readers) {
+            return;
+        }
+        const bool isCandidate = state.m_leadership.m_followers.contains(host) && !readers.m_leftAlone.contains(host);
+        if (isCandidate && readers.m_appointed.emplace(host, Reader{now, {}}).second) {
+            log(actions, LogLine("reader-appointed").with("reader", host.text()));
+            sendPulse(state, {host, true}, now);
+        }
+    }
+}
+
+TimePoint nextReadersAt(const State &state)
+{
     if (!Fleet::isLeading(state.m_leadership)) {
-        const Duration leadAge = tableOf(state, TableKind::Configuration).m_leadAge;
-        if (state.m_leadership.m_answeredAt && leadAge > *age + worthTelling + state.m_settings.m_leadership.m_pulseInterval) {
-            sendPulse(state, {state.m_leadership.m_lead, true}, now);
+        return TimePoint::max();
+    }
+    constexpr Duration Interval = std::chrono::milliseconds(100); // While others read for this host.
+    const Duration ownStale = state.m_settings.m_freshness.m_ownStale;
+    TimePoint next = TimePoint::max();
+    for (const TableKind kind : {TableKind::Configuration, TableKind::Servers}) {
+        const auto &confirmedAt = tableOf(state, kind).m_follower.m_confirmedAt;
+        if (confirmedAt) {
+            next = std::min(next, std::max(*confirmedAt + ownStale + Duration(1), state.m_lastTick + Interval));
         }
     }
+    return next;
 }
 
 void spreadNews(State &state, TableKind kind, TimePoint now)
 {
     const auto index = static_cast<std::size_t>(kind);
     if (!Fleet::isLeading(state.m_leadership)) {
+        if (state.m_tables[index].m_isRead) {
+            sendNews(state, state.m_leadership.m_lead, kind, state.m_tables[index].m_leadStand);
+        }
         return;
     }
     for (auto &[host, stands] : state.m_stands) {
@@ -247,6 +338,8 @@
         }
     }
     noteLeadChange(state, leadBefore, now, actions);
+    manageReaders(state, now, actions);
+    state.m_lastTick = now;
     Scheduling::setShare(state.m_scheduler, Fleet::shareOf(state.m_leadership, now), now);
 }
 
--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -27,6 +27,22 @@
     log(actions, LogLine("readiness-changed").with("ready", ready ? "yes" : "no").with("configuration_age_us", age ? age->count() : -1));
 }
 
+/// Takes over new settings, but for the name and the address of the host.
+void onSettingsChanged(State &state, const SettingsChanged &changed, TimePoint now, Actions &actions)
+{
+    HostSettings settings = changed.m_settings;
+    settings.m_host = state.m_settings.m_host;
+    settings.m_domain = state.m_settings.m_domain;
+    settings.m_peerAddress = state.m_settings.m_peerAddress;
+    log(actions, LogLine("settings-read").with("changed", settings == state.m_settings ? "no" : "yes"));
+    state.m_settings = settings;
+    state.m_leadership.m_settings = settings.m_leadership;
+    state.m_scheduler.m_settings = settings.m_scheduling;
+    if (state.m_catalogue) {
+        Scheduling::setLimits(state.m_scheduler, *state.m_catalogue, now);
+    }
+}
+
 void onStopAsked(State &state, TimePoint now, Actions &actions)
 {
     if (!state.m_stopAskedAt) {
@@ -98,8 +114,12 @@
     const std::array<std::string, Fleet::TableKinds> names{source.m_configurationTable, source.m_serverTable, source.m_hostTable};
     for (std::size_t i = 0; i < names.size(); ++i) {
         state.m_tables[i].m_follower.m_table = names[i];
-        state.m_tables[i].m_follower.m_settings.m_wait = i == 0 ? settings.m_configurationWait : settings.m_tableWait;
+        state.m_tables[i].m_follower.m_settings.m_wait = settings.m_wait;
     }
+    Store::FollowerSettings &hosts = detail::tableOf(state, Fleet::TableKind::Hosts).m_follower.m_settings;
+    hosts.m_wait = settings.m_hostsWait;
+    hosts.m_interval = settings.m_hostsInterval;
+    detail::tableOf(state, Fleet::TableKind::Servers).m_follower.m_settings.m_interval = settings.m_serversInterval;
     return state;
 }
 
@@ -125,6 +145,8 @@
                 detail::onStoreAnswered(state, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, PeerSpoke>) {
                 detail::onPeerSpoke(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, SettingsChanged>) {
+                detail::onSettingsChanged(state, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, StopAsked>) {
                 detail::onStopAsked(state, now, actions);
             }
@@ -149,7 +171,7 @@
     }
     next = std::min(next, detail::nextStoreCallAt(state));
     if (!state.m_settings.m_peerAddress.empty()) {
-        next = std::min(next, Fleet::nextTickAt(state.m_leadership));
+        next = std::min({next, Fleet::nextTickAt(state.m_leadership), detail::nextReadersAt(state)});
     }
     const auto &confirmedAt = detail::tableOf(state, Fleet::TableKind::Configuration).m_shared.m_confirmedAt;
     if (state.m_ready && confirmedAt) {
--- a/src/host/requests.cpp
+++ b/src/host/requests.cpp
@@ -106,12 +106,13 @@
     return exchange;
 }
 
-void logRefusal(const State &state, const std::string &request, const Problem &problem, TimePoint now, Actions &actions)
+void logRefusal(const State &state, const std::string &request, const WorkspaceId &workspace, const Problem &problem, TimePoint now, Actions &actions)
 {
     const auto age = configurationAge(state, now);
     log(actions,
         LogLine("request-refused")
             .with("request", request)
+            .with("workspace", workspace.text())
             .with("status", problem.m_status)
             .with("error", toString(problem.m_id))
             .with("outcome", Dispatch::toString(problem.m_outcome))
@@ -133,7 +134,7 @@
     auto admitted = admit(state, request, now);
     if (!admitted) {
         countRefusal(state, admitted.error());
-        logRefusal(state, request.m_facts.m_attemptId, admitted.error(), now, actions);
+        logRefusal(state, request.m_facts.m_attemptId, {}, admitted.error(), now, actions);
         actions.emplace_back(AnswerProblem{request.m_exchange, admitted.error()});
         return;
     }
@@ -154,7 +155,7 @@
         exact.m_retryAfter.reset();
     }
     countRefusal(state, exact);
-    logRefusal(state, exchange.m_request.m_facts.m_attemptId, exact, now, actions);
+    logRefusal(state, exchange.m_request.m_facts.m_attemptId, exchange.m_workspace, exact, now, actions);
     actions.emplace_back(AnswerProblem{id, exact});
     endExchange(state, id, now, actions);
 }
--- a/src/host/seats.cpp
+++ b/src/host/seats.cpp
@@ -60,7 +60,7 @@
 void registerSelf(State &state, TimePoint now, Actions &actions)
 {
     Registration &registration = state.m_registration;
-    const bool isKnown = tableOf(state, TableKind::Hosts).m_shared.m_version > 0;
+    const bool isKnown = tableOf(state, TableKind::Hosts).m_shared.m_confirmedAt.has_value();
     if (!isKnown || registration.m_isRunning || now < registration.m_nextAt || state.m_stopAskedAt || isRegistered(state)) {
         return;
     }
@@ -130,11 +130,19 @@
         log(actions, LogLine("registered").with("address", state.m_settings.m_peerAddress));
         return;
     }
-    if (std::holds_alternative<Store::Conflict>(result)) {
-        KnownTable &table = tableOf(state, TableKind::Hosts);
-        table.m_follower.m_mustRead = !table.m_follower.m_isRunning || table.m_follower.m_mustRead;
+    const auto *conflict = std::get_if<Store::Conflict>(&result);
+    log(actions, LogLine("registration-failed", Severity::Warning).with("conflict", conflict != nullptr ? "yes" : "no"));
+    if (conflict == nullptr) {
+        return;
+    }
+    state.m_registration.m_nextAt = now;
+    bool isNews = false;
+    for (const Store::Row &row : conflict->m_rows) {
+        isNews = Fleet::takeRow(tableOf(state, TableKind::Hosts).m_shared, row) || isNews;
+    }
+    if (isNews) {
+        takeRoster(state, now, actions);
     }
-    log(actions, LogLine("registration-failed", Severity::Warning).with("conflict", std::holds_alternative<Store::Conflict>(result) ? "yes" : "no"));
 }
 
 void takeRoster(State &state, TimePoint now, Actions &actions)
--- a/src/host/tables.cpp
+++ b/src/host/tables.cpp
@@ -83,29 +83,34 @@
     return table.m_confirmedAt ? std::optional(now - *table.m_confirmedAt) : std::nullopt;
 }
 
+Duration staleAfter(const State &state, TableKind kind)
+{
+    const FreshnessSettings &freshness = state.m_settings.m_freshness;
+    return (kind == TableKind::Hosts ? freshness.m_staleHosts : freshness.m_stale) + state.m_staleDelay;
+}
+
 /// Tells whether this host has to follow a table in the store: nobody else keeps it up to date.
 bool mustRead(const State &state, TableKind kind, TimePoint now)
 {
-    const Fleet::Leadership &leadership = state.m_leadership;
     const auto age = ageOf(tableOf(state, kind).m_shared, now);
-    const bool isConfiguration = kind == TableKind::Configuration;
-    if (!age || Fleet::isLeading(leadership) || (leadership.m_isReader && isConfiguration)) {
-        return true;
-    }
-    const FreshnessSettings &freshness = state.m_settings.m_freshness;
-    return *age > (isConfiguration ? freshness.m_stale : freshness.m_staleServers) + state.m_staleDelay;
+    return !age || Fleet::isLeading(state.m_leadership) || state.m_leadership.m_isReader || *age > staleAfter(state, kind);
 }
 
-/// Starts or stops following a table. A host that asked because the others kept it waiting goes on for a while.
+/// Starts or stops following a table. A host that asked because the lead kept it waiting goes on until the lead is up to date again.
 void switchReading(State &state, KnownTable &table, TableKind kind, TimePoint now)
 {
-    constexpr Duration FreshAgain = std::chrono::milliseconds(1500);
     const bool needed = mustRead(state, kind, now);
     if (needed && !table.m_isRead) {
         table.m_isRead = true;
         table.m_follower.m_nextAt = std::max(table.m_follower.m_nextAt, now);
+        table.m_follower.m_asksAtOnce = true;
         Fleet::resume(table.m_follower, table.m_shared);
-    } else if (!needed && table.m_isRead && !table.m_follower.m_isRunning && table.m_leadAge < FreshAgain && state.m_leadership.m_answeredAt) {
+        return;
+    }
+    const FreshnessSettings &freshness = state.m_settings.m_freshness;
+    const Duration fresh = kind == TableKind::Hosts ? freshness.m_staleHosts / 2 : freshness.m_freshAgain;
+    const bool isLeadFresh = state.m_leadership.m_answeredAt && table.m_leadStand.m_version > 0 && table.m_leadStand.m_age < fresh;
+    if (!needed && table.m_isRead && !table.m_follower.m_isRunning && isLeadFresh) {
         table.m_isRead = false;
     }
 }
@@ -134,9 +139,8 @@
         onTableChanged(state, kind, now, actions);
         spreadNews(state, kind, now);
     }
-    if (kind == TableKind::Configuration) {
-        tellConfirmation(state, now);
-    }
+    const bool hasJustFailed = failuresBefore == 0 && table.m_follower.m_failures > 0;
+    tellConfirmation(state, hasJustFailed, now);
 }
 
 }
@@ -168,6 +172,9 @@
     const StoreCallId id = ++state.m_lastCall;
     state.m_calls.emplace(id, running);
     Reporting::count(state.m_counters, "store_calls");
+    if (running.m_purpose == CallPurpose::Follow) {
+        log(actions, LogLine("store-call", Severity::Debug).with("table", tableOf(state, running.m_table).m_follower.m_table));
+    }
     actions.emplace_back(CallStore{id, std::move(call)});
 }
 
@@ -205,9 +212,7 @@
         if (table.m_isRead) {
             next = std::min(next, Store::nextCallAt(table.m_follower));
         } else if (table.m_shared.m_confirmedAt) {
-            const bool isConfiguration = kind == TableKind::Configuration;
-            const Duration stale = isConfiguration ? state.m_settings.m_freshness.m_stale : state.m_settings.m_freshness.m_staleServers;
-            next = std::min(next, *table.m_shared.m_confirmedAt + stale + state.m_staleDelay + Duration(1000));
+            next = std::min(next, *table.m_shared.m_confirmedAt + staleAfter(state, kind) + Duration(1000));
         }
     }
     return next;
--- a/src/loop/relay.cpp
+++ b/src/loop/relay.cpp
@@ -4,6 +4,7 @@
 #include <ragwortrelay/reporting/counters.h>
 
 #include <csignal>
+#include <filesystem>
 #include <random>
 #include <type_traits>
 
@@ -43,12 +44,14 @@
 class Relay::Implementation
 {
 public:
-    Implementation(const RelaySettings &settings, const Surroundings &surroundings, LogDuty &log)
+    Implementation(const RelaySettings &settings, const SettingsFile &file, const Surroundings &surroundings, LogDuty &log)
         : m_settings(settings)
+        , m_file(file)
         , m_log(log)
         , m_context(1)
         , m_timer(m_context)
-        , m_signals(m_context, SIGTERM, SIGINT)
+        , m_fileTimer(m_context)
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_state(Host::makeState(settings.m_host, surroundings.m_source, randomSeed(), randomSeed()))
         , m_callers(m_context, settings.m_callers, surroundings.m_dialect, [this](const Host::Event &event) { handle(event); })
         , m_backends(m_context, settings.m_backends, surroundings.m_dialect, [this](const Host::Event &event) { handle(event); })
@@ -77,6 +80,9 @@
         }
         m_callers.start();
         m_log.log(Reporting::LogLine("started").with("callers", m_callers.address()).with("domain", m_settings.m_host.m_domain.text()));
+        if (!m_file.m_name.empty()) {
+            watchFile();
+        }
         handle(Host::Ticked{});
         m_context.run();
         m_log.log(Reporting::LogLine("exited"));
@@ -85,10 +91,43 @@
 private:
     void waitForSignal()
     {
-        m_signals.async_wait([this](const ErrorCode &error, int /*signal*/) {
-            if (!error) {
+        m_signals.async_wait([this](const ErrorCode &error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                readSettings();
+            } else {
                 handle(Host::StopAsked{});
-                waitForSignal();
+            }
+            waitForSignal();
+        });
+    }
+
+    void readSettings()
+    {
+        const auto settings = m_file.m_read(m_log);
+        if (settings) {
+            handle(Host::SettingsChanged{*settings});
+        }
+    }
+
+    /// Looks now and then whether the settings file was written without a signal.
+    void watchFile()
+    {
+        constexpr auto Interval = std::chrono::seconds(1);
+        std::error_code error;
+        const auto writtenAt = std::filesystem::last_write_time(m_file.m_name, error);
+        if (!error && m_fileWrittenAt && writtenAt != *m_fileWrittenAt) {
+            readSettings();
+        }
+        if (!error) {
+            m_fileWrittenAt = writtenAt;
+        }
+        m_fileTimer.expires_after(Interval);
+        m_fileTimer.async_wait([this](const ErrorCode &result) {
+            if (!result) {
+                watchFile();
             }
         });
     }
@@ -248,9 +287,12 @@
     }
 
     RelaySettings m_settings;
+    SettingsFile m_file;
+    std::optional<std::filesystem::file_time_type> m_fileWrittenAt;
     LogDuty &m_log;
     asio::io_context m_context;
     asio::steady_timer m_timer;
+    asio::steady_timer m_fileTimer;
     asio::signal_set m_signals;
     Host::State m_state;
     CallerFront m_callers;
@@ -264,8 +306,8 @@
     int m_finishRounds = 0;
 };
 
-Relay::Relay(const RelaySettings &settings, const Surroundings &surroundings, LogDuty &log)
-    : m_implementation(std::make_unique<Implementation>(settings, surroundings, log))
+Relay::Relay(const RelaySettings &settings, const SettingsFile &file, const Surroundings &surroundings, LogDuty &log)
+    : m_implementation(std::make_unique<Implementation>(settings, file, surroundings, log))
 {
 }
 
--- a/src/scheduling/serverbook.cpp
+++ b/src/scheduling/serverbook.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/scheduling/serverbook.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace RagwortRelay::Scheduling {
@@ -85,6 +86,22 @@
     state.m_slowness += ServerSmoothing * (ratio - state.m_slowness);
 }
 
+void noteOutcome(ServiceState &service, const PickSettings &settings, bool failed, TimePoint now)
+{
+    const double age = static_cast<double>((now - service.m_outcomesAt).count());
+    const double left = std::exp(-age / static_cast<double>(settings.m_failureFading.count()));
+    service.m_outcomes = service.m_outcomes * left + 1.0;
+    service.m_failures = service.m_failures * left + (failed ? 1.0 : 0.0);
+    service.m_outcomesAt = now;
+}
+
+/// Tells whether so many attempts of a service fail that no sound server may be left unused.
+bool isFailing(const ServiceState &service, const PickSettings &settings)
+{
+    constexpr double LeastOutcomes = 8.0;
+    return service.m_outcomes >= LeastOutcomes && service.m_failures > settings.m_failingAbove * service.m_outcomes;
+}
+
 bool contains(const std::vector<ServerId> &servers, const ServerId &server)
 {
     return std::ranges::find(servers, server) != servers.end();
@@ -170,6 +187,30 @@
     return nullptr;
 }
 
+/// Returns the least suspect of the servers that got nothing for a while, when they are too many for a service that fails. Avoiding
+/// servers must not go so far that sound ones are left out.
+const Candidate *tooLongUnused(const PickSettings &settings, const std::vector<Candidate> &all, const ServiceState &service, const Draw &draw, TimePoint now)
+{
+    if (!isFailing(service, settings)) {
+        return nullptr;
+    }
+    std::size_t untouched = 0;
+    const Candidate *best = nullptr;
+    for (const Candidate &candidate : all) {
+        const ServerState &state = *candidate.m_state;
+        if (!state.m_running.empty() || now - state.m_usedAt < settings.m_untouchedAfter) {
+            continue;
+        }
+        ++untouched;
+        const bool isBetter = best == nullptr || candidate.m_sickness < best->m_sickness;
+        if (isBetter && hasFreeSlot(state, now) && !contains(draw.m_excluded, state.m_server.m_id)) {
+            best = &candidate;
+        }
+    }
+    const double most = settings.m_untouchedAtMost * static_cast<double>(all.size());
+    return static_cast<double>(untouched) > most ? best : nullptr;
+}
+
 }
 
 std::vector<ServerId> setServers(ServerBook &book, const Configuration::ServerDirectory &directory, TimePoint now)
@@ -206,6 +247,9 @@
     }
     std::vector<Candidate> candidates = candidatesOf(book, settings, service->second, asker, random, now);
     const std::size_t usable = candidates.size();
+    if (const Candidate *unused = tooLongUnused(settings, candidates, service->second, draw, now)) {
+        return unused->m_state->m_server.m_id;
+    }
     const std::vector<Candidate> avoided = takeAvoided(settings, candidates);
     const Candidate *trial = dueForTrial(settings, avoided, draw, now);
     const Candidate *best = trial != nullptr ? trial : cheapest(settings, candidates, draw, asker, random, now);
@@ -228,6 +272,7 @@
 {
     ServerState &state = book.m_servers.at(server);
     state.m_running.push_back({id, now, false});
+    state.m_usedAt = now;
     if (Health::sicknessFor(settings.m_suspicion, state.m_suspicion, asker.m_host, asker.m_domain, now) > settings.m_avoidAbove) {
         state.m_triedAt = now;
     }
@@ -242,11 +287,15 @@
     ServerState &state = found->second;
     const DrawId id{asker.m_host, done.m_number};
     std::erase_if(state.m_running, [&](const RunningDraw &running) { return running.m_id == id; });
+    const bool failed = isFailure(done.m_end);
+    if (failed || done.m_end == AttemptEnd::Succeeded) {
+        noteOutcome(book.m_services[state.m_server.m_service], settings, failed, now);
+    }
     if (done.m_end == AttemptEnd::Shed) {
         state.m_fullUntil = now + settings.m_shedHold;
     } else if (done.m_end == AttemptEnd::Misdirected) {
         state.m_leavingUntil = now + settings.m_drainHold;
-    } else if (isFailure(done.m_end)) {
+    } else if (failed) {
         noteFailure(state, settings, done.m_end, asker, now);
     } else if (done.m_end == AttemptEnd::Succeeded) {
         noteSuccess(book, state, settings, done, asker, now);
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/store/follower.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace RagwortRelay::Store {
 
@@ -23,7 +24,7 @@
 {
     follower.m_failures = 0;
     follower.m_pause = Duration(0);
-    follower.m_nextAt = now;
+    follower.m_nextAt = std::max(now, follower.m_sentAt + follower.m_settings.m_interval);
     noteStoreTime(clock, follower.m_sentAt, now, read.m_time);
 }
 
@@ -89,7 +90,8 @@
     follower.m_isRunning = true;
     follower.m_sentAt = now;
     if (!follower.m_mustRead) {
-        return FollowTable{follower.m_table, follower.m_version, follower.m_settings.m_wait};
+        const bool asksAtOnce = std::exchange(follower.m_asksAtOnce, false);
+        return FollowTable{follower.m_table, follower.m_version, asksAtOnce ? std::chrono::milliseconds(0) : follower.m_settings.m_wait};
     }
     ReadRows read;
     read.m_table = follower.m_table;
