--- a/include/ragwortrelay/scheduling/serverbook.h
+++ b/include/ragwortrelay/scheduling/serverbook.h
@@ -31,9 +31,9 @@
     double m_avoidAbove = 0.3; ///< Probability of sickness from which a server gets no more than single trials.
     double m_floor = 0.7; ///< Share of the usable servers that is never avoided.
     Duration m_trialInterval{std::chrono::milliseconds(700)}; ///< Between two trial requests at an avoided server.
-    double m_failingAbove = 0.07; ///< Share of failures from which a service counts as failing.
-    double m_untouchedAtMost = 0.2; ///< Share of the usable servers of a failing service that may get nothing for m_untouchedAfter.
-    Duration m_untouchedAfter{std::chrono::milliseconds(1500)};
+    double m_failingAbove = 0.085; ///< Share of failures from which a service counts as failing.
+    double m_untouchedAtMost = 0.15; ///< Share of the usable servers of a failing service that may get nothing for m_untouchedAfter.
+    Duration m_untouchedAfter{std::chrono::milliseconds(1600)};
     Duration m_failureFading{std::chrono::milliseconds(2000)}; ///< Outcomes lose all but 1/e of their weight in the share of failures in this time.
     Duration m_shedHold{std::chrono::milliseconds(60)}; ///< A server that shed counts as full for so long.
     Duration m_drainHold{std::chrono::seconds(20)}; ///< A server that said it is leaving gets nothing for so long, unless it starts anew.
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -123,12 +123,7 @@
 /// Tries another server, or gives up.
 void tryAnother(State &state, ExchangeId id, DrawPurpose purpose, const Problem &problem, TimePoint now, Actions &actions)
 {
-    Exchange &exchange = state.m_exchanges.at(id);
-    if (exchange.m_draw) { // Of a hedge, which would be refused where this one may wait.
-        withdrawDraw(state, *exchange.m_draw);
-        exchange.m_draw.reset();
-    }
-    if (mayTryAnother(exchange, state.m_settings, now)) {
+    if (mayTryAnother(state.m_exchanges.at(id), state.m_settings, now)) {
         return drawServer(state, id, purpose, now, actions);
     }
     giveUp(state, id, problem, now, actions);
--- a/src/host/draws.cpp
+++ b/src/host/draws.cpp
@@ -73,6 +73,9 @@
 void drawServer(State &state, ExchangeId id, DrawPurpose purpose, TimePoint now, Actions &actions)
 {
     Exchange &exchange = state.m_exchanges.at(id);
+    if (exchange.m_draw) { // Of a hedge, which would be refused where this one may wait.
+        withdrawDraw(state, *exchange.m_draw);
+    }
     const Draw draw = drawFor(state, exchange, purpose, now);
     exchange.m_draw = draw.m_number;
     PendingDraw &pending = state.m_draws[draw.m_number];
--- /dev/null
+++ b/tests/fakes/faketables.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "fakeworld.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+/// A small form of configuration and servers for tests of hosts: what a source reads is not what these tests are about.
+namespace RagwortRelay::Fakes {
+
+inline tl::expected<Configuration::Catalogue, Error> readFakeCatalogue(const Host::Rows &rows)
+{
+    const auto row = rows.find("catalogue");
+    if (row == rows.end()) {
+        return tl::unexpected(Error{ErrorId::PlatformBadAnswer, "nothing there"});
+    }
+    const auto json = nlohmann::json::parse(row->second.m_value);
+    Configuration::Catalogue catalogue;
+    catalogue.m_version = json.at("version").get<std::uint64_t>();
+    for (const auto &entry : json.at("routes")) {
+        Configuration::Route route;
+        route.m_name = entry.at("path").get<std::string>();
+        route.m_pathPrefix = route.m_name;
+        route.m_shares = {{ServiceId(entry.at("service").get<std::string>()), 1.0}};
+        route.m_idempotent = entry.value("idempotent", true);
+        route.m_open = entry.value("open", true);
+        route.m_attemptsAtMost = entry.value("attempts", 2U);
+        route.m_priority = entry.value("priority", 0U);
+        route.m_deadline = std::chrono::milliseconds(entry.value("deadline_ms", 1000));
+        route.m_latencyObjective = std::chrono::milliseconds(entry.value("objective_ms", 500));
+        catalogue.m_routes.push_back(route);
+    }
+    Configuration::sortRoutes(catalogue.m_routes);
+    for (const auto &entry : json.value("workspaces", nlohmann::json::array())) {
+        Configuration::Workspace workspace;
+        workspace.m_id = WorkspaceId(entry.at("name").get<std::string>());
+        workspace.m_rate = entry.value("rate", 100U);
+        workspace.m_burst = entry.value("burst", 100U);
+        catalogue.m_workspaces[workspace.m_id] = workspace;
+        for (const auto &key : entry.value("keys", nlohmann::json::array())) {
+            const auto text = key.get<std::string>();
+            catalogue.m_keys[KeyId(text)] = {KeyId(text), workspace.m_id, {}, Workspaces::digestOf({}, text), false};
+        }
+    }
+    return catalogue;
+}
+
+inline Configuration::ServerDirectory readFakeServers(const Host::Rows &rows, Findings &findings)
+{
+    Configuration::ServerDirectory directory;
+    for (const auto &[name, row] : rows) {
+        const auto json = nlohmann::json::parse(row.m_value, nullptr, false);
+        if (json.is_discarded()) {
+            findings.push_back({{name, 0, 0}, ErrorId::PlatformBadAnswer, "unreadable"});
+            continue;
+        }
+        Configuration::Server server;
+        server.m_id = ServerId(name);
+        server.m_service = ServiceId(json.at("service").get<std::string>());
+        server.m_address = json.value("address", name);
+        server.m_domain = FailureDomainId(json.value("domain", "d1"));
+        server.m_slots = json.value("slots", 2U);
+        server.m_incarnation = json.value("incarnation", 1U);
+        server.m_use = json.value("leaving", false) ? Configuration::ServerUse::Leaving : Configuration::ServerUse::Active;
+        directory.m_servers.emplace(server.m_id, server);
+    }
+    return directory;
+}
+
+inline std::optional<Workspaces::PresentedKey> readFakeKey(const std::string &value)
+{
+    return Workspaces::PresentedKey{KeyId(value), value};
+}
+
+inline Host::Source fakeSource()
+{
+    Host::Source source;
+    source.m_configurationTable = "configuration";
+    source.m_serverTable = "servers";
+    source.m_readCatalogue = readFakeCatalogue;
+    source.m_readServers = readFakeServers;
+    source.m_readKey = readFakeKey;
+    return source;
+}
+
+/// Writes a configuration with an idempotent route /look, one that isn't, /book, and workspaces of which each has the key of its name.
+inline void writeConfiguration(FakeWorld &world, std::uint64_t version, const nlohmann::json &workspaces = nlohmann::json::array())
+{
+    const nlohmann::json routes{{{"path", "/look"}, {"service", "desk"}},
+                                {{"path", "/book"}, {"service", "desk"}, {"idempotent", false}},
+                                {{"path", "/keyed"}, {"service", "desk"}, {"open", false}}};
+    world.m_store.write("configuration", "catalogue", nlohmann::json{{"version", version}, {"routes", routes}, {"workspaces", workspaces}}.dump(), world.m_now);
+}
+
+inline nlohmann::json workspace(const std::string &name, unsigned rate, unsigned burst)
+{
+    return {{"name", name}, {"rate", rate}, {"burst", burst}, {"keys", {name}}};
+}
+
+/// Writes so many servers s1, s2 and so on of the service desk.
+inline void writeServers(FakeWorld &world, int count, unsigned slots = 2)
+{
+    for (int i = 1; i <= count; ++i) {
+        const nlohmann::json server{{"service", "desk"}, {"slots", slots}, {"domain", "d" + std::to_string(i % 3)}};
+        world.m_store.write("servers", "s" + std::to_string(i), server.dump(), world.m_now);
+    }
+}
+
+/// Starts hosts before servers and lets them find their lead.
+inline void settle(FakeWorld &world, int hosts, int servers)
+{
+    world.m_source = fakeSource();
+    writeConfiguration(world, 1);
+    writeServers(world, servers);
+    world.startMany(hosts);
+    world.run(std::chrono::seconds(4));
+}
+
+}
--- /dev/null
+++ b/tests/fakes/fakeworld.h
@@ -0,0 +1,292 @@
+#pragma once
+
+#include "fakestore.h"
+
+#include <ragwortrelay/host/state.h>
+#include <ragwortrelay/reporting/logline.h>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace RagwortRelay::Fakes {
+
+/// How the store treats one host.
+enum class StoreMode {
+    Serving,
+    Refusing,
+    Silent,
+};
+
+/// Answer that a caller got.
+struct CallerAnswer {
+    bool m_isForwarded = false; ///< A server's answer.
+    Dispatch::Problem m_problem; ///< Of the host, when not forwarded.
+    TimePoint m_at;
+};
+
+/// A request as a server got it.
+struct ServedAttempt {
+    HostId m_host;
+    Host::StartAttempt m_start;
+    TimePoint m_at;
+};
+
+/// Hosts in simulated time, with fakes for all that surrounds them. One seed, one run.
+class FakeWorld
+{
+public:
+    /// Decides what becomes of an attempt: returns the delay and the event that it ends with. No event: the server never answers.
+    using Server = std::function<std::pair<Duration, std::optional<Host::Event>>(const ServedAttempt &)>;
+
+    explicit FakeWorld(std::uint64_t seed) : m_random(seed)
+    {
+        m_server = [](const ServedAttempt &attempt) { return std::pair(Duration(std::chrono::milliseconds(100)), answered(attempt.m_start.m_attempt, 200)); };
+    }
+
+    static std::optional<Host::Event> answered(Host::AttemptId attempt, std::uint16_t status, bool notRun = false)
+    {
+        Host::AttemptAnswered answer;
+        answer.m_attempt = attempt;
+        answer.m_status = status;
+        answer.m_facts.m_notRun = notRun;
+        answer.m_whole = true;
+        return answer;
+    }
+
+    static std::optional<Host::Event> failed(Host::AttemptId attempt, Dispatch::AttemptFailure failure, bool sent)
+    {
+        return Host::AttemptFailed{attempt, failure, sent};
+    }
+
+    /// Starts a host, or a new life of it.
+    void start(const std::string &name, const std::string &domain)
+    {
+        const HostId id(name);
+        Host::HostSettings settings;
+        settings.m_host = id;
+        settings.m_domain = FailureDomainId(domain);
+        settings.m_peerAddress = name; // Addresses are names here.
+        m_tune(settings);
+        ++m_lives[id];
+        m_hosts.insert_or_assign(id, Host::makeState(settings, m_source, m_random(), m_random()));
+        m_wakeAt[id] = TimePoint::max();
+        deliver(id, Host::Ticked{});
+    }
+
+    /// Starts so many hosts, h1, h2 and so on, in turns over three failure domains.
+    void startMany(int count)
+    {
+        for (int i = 1; i <= count; ++i) {
+            start("h" + std::to_string(i), "d" + std::to_string(i % 3));
+        }
+    }
+
+    void kill(const HostId &host)
+    {
+        ++m_lives[host];
+        m_hosts.erase(host);
+    }
+
+    /// Lets time go on.
+    void run(Duration duration)
+    {
+        const TimePoint end = m_now + duration;
+        while (!m_queue.empty() && m_queue.begin()->first <= end) {
+            const auto next = m_queue.begin();
+            m_now = std::max(m_now, next->first);
+            const auto task = std::move(next->second);
+            m_queue.erase(next);
+            task();
+            m_store.tick(m_now);
+        }
+        m_now = end;
+    }
+
+    /// Does something later.
+    void at(Duration delay, std::function<void()> task)
+    {
+        m_queue.emplace(m_now + delay, std::move(task));
+    }
+
+    /// Gives a host a request; returns its number.
+    Host::ExchangeId request(const HostId &host, const std::string &path, const std::string &key = {}, std::uint64_t bodyDigest = 0)
+    {
+        Host::RequestArrived request;
+        request.m_exchange = ++m_lastExchange;
+        request.m_method = "GET";
+        request.m_facts.m_path = path;
+        request.m_facts.m_key = key;
+        request.m_facts.m_attemptId = std::to_string(m_lastExchange);
+        request.m_bodyDigest = bodyDigest;
+        const Host::ExchangeId id = m_lastExchange;
+        deliver(host, request);
+        return id;
+    }
+
+    void deliver(const HostId &host, const Host::Event &event)
+    {
+        const auto state = m_hosts.find(host);
+        if (state == m_hosts.end()) {
+            return;
+        }
+        for (const Host::Action &action : Host::handle(state->second, event, m_now)) {
+            std::visit([&](const auto &typed) { perform(host, typed); }, action);
+        }
+        arm(host);
+    }
+
+    [[nodiscard]] const Host::State &state(const HostId &host) const
+    {
+        return m_hosts.at(host);
+    }
+
+    /// Returns the one host that all follow; empty when they don't agree.
+    [[nodiscard]] HostId lead() const
+    {
+        HostId lead;
+        for (const auto &[id, state] : m_hosts) {
+            const HostId &followed = state.m_leadership.m_lead;
+            if (!lead.isEmpty() && lead != followed) {
+                return {};
+            }
+            lead = followed;
+        }
+        return lead;
+    }
+
+    /// Returns the answers with a status of the host's own, or the forwarded ones for 0.
+    [[nodiscard]] std::size_t countAnswers(std::uint16_t status) const
+    {
+        std::size_t count = 0;
+        for (const auto &[id, answer] : m_answers) {
+            count += (status == 0 ? answer.m_isForwarded : !answer.m_isForwarded && answer.m_problem.m_status == status) ? 1 : 0;
+        }
+        return count;
+    }
+
+    FakeStore m_store;
+    Host::Source m_source;
+    Server m_server;
+    std::function<void(Host::HostSettings &)> m_tune = [](Host::HostSettings &) {};
+    std::map<HostId, StoreMode> m_storeModes;
+    std::set<std::pair<HostId, HostId>> m_cuts; ///< From, to: one way.
+    double m_lossChance = 0.0;
+    Duration m_peerDelay{std::chrono::milliseconds(1)};
+    Duration m_storeDelay{std::chrono::milliseconds(4)};
+    std::map<HostId, Host::State> m_hosts;
+    std::map<Host::ExchangeId, CallerAnswer> m_answers;
+    std::vector<ServedAttempt> m_served;
+    std::map<HostId, bool> m_ready;
+    std::set<HostId> m_exited;
+    std::vector<std::pair<HostId, Reporting::LogLine>> m_log;
+    TimePoint m_now{std::chrono::seconds(1000)};
+    RandomGenerator m_random;
+
+private:
+    void arm(const HostId &host)
+    {
+        const TimePoint due = std::max(m_now, Host::nextDueAt(m_hosts.at(host)));
+        if (due >= m_wakeAt[host]) {
+            return;
+        }
+        m_wakeAt[host] = due;
+        const int life = m_lives[host];
+        m_queue.emplace(due, [this, host, life] {
+            if (m_lives[host] == life) {
+                m_wakeAt[host] = TimePoint::max();
+                deliver(host, Host::Ticked{});
+            }
+        });
+    }
+
+    void deliverLater(const HostId &host, Duration delay, const Host::Event &event)
+    {
+        const int life = m_lives[host];
+        at(delay, [this, host, life, event] {
+            if (m_lives[host] == life) {
+                deliver(host, event);
+            }
+        });
+    }
+
+    void perform(const HostId &host, const Host::StartAttempt &start)
+    {
+        m_served.push_back({host, start, m_now});
+        const auto [delay, event] = m_server(m_served.back());
+        if (event) {
+            deliverLater(host, delay, *event);
+        }
+    }
+
+    void perform(const HostId & /*host*/, const Host::ForwardAnswer &forward)
+    {
+        m_answers[forward.m_exchange] = {true, {}, m_now};
+    }
+
+    void perform(const HostId & /*host*/, const Host::AnswerProblem &answer)
+    {
+        m_answers[answer.m_exchange] = {false, answer.m_problem, m_now};
+    }
+
+    void perform(const HostId &host, const Host::CallStore &call)
+    {
+        constexpr Duration Timeout = std::chrono::milliseconds(1800);
+        const StoreMode mode = m_storeModes[host];
+        if (mode == StoreMode::Refusing) {
+            return deliverLater(host, m_storeDelay, Host::StoreAnswered{call.m_call, Store::Refused{"refused"}});
+        }
+        if (mode == StoreMode::Silent) {
+            return deliverLater(host, Timeout, Host::StoreAnswered{call.m_call, Store::Unanswered{"silent"}});
+        }
+        if (const auto *follow = std::get_if<Store::FollowTable>(&call.m_request)) {
+            at(follow->m_wait, [] {}); // The store looks at its feeds after each task.
+        }
+        const int life = m_lives[host];
+        m_store.call(call.m_request, m_now, [this, host, life, call](const Store::Result &result) {
+            if (m_lives[host] != life) {
+                return;
+            }
+            const bool isLost = m_storeModes[host] != StoreMode::Serving;
+            deliverLater(host, isLost ? Timeout : m_storeDelay, Host::StoreAnswered{call.m_call, isLost ? Store::Result(Store::Unanswered{"lost"}) : result});
+        });
+    }
+
+    void perform(const HostId &host, const Host::SendPeer &message)
+    {
+        const HostId to(message.m_address);
+        if (m_cuts.contains({host, to}) || drawUnit(m_random) < m_lossChance) {
+            return;
+        }
+        deliverLater(to, m_peerDelay, Host::PeerSpoke{host.text(), message.m_datagram});
+    }
+
+    void perform(const HostId &host, const Host::SetReadiness &readiness)
+    {
+        m_ready[host] = readiness.m_ready;
+    }
+
+    void perform(const HostId &host, const Host::Log &line)
+    {
+        m_log.emplace_back(host, line.m_line);
+    }
+
+    void perform(const HostId &host, const Host::Exit & /*exit*/)
+    {
+        m_exited.insert(host);
+    }
+
+    template<typename Other> void perform(const HostId & /*host*/, const Other & /*action*/)
+    {
+    }
+
+    std::multimap<TimePoint, std::function<void()>> m_queue;
+    std::map<HostId, int> m_lives;
+    std::map<HostId, TimePoint> m_wakeAt;
+    Host::ExchangeId m_lastExchange = 0;
+};
+
+}
--- /dev/null
+++ b/tests/scheduling/serverbook.cpp
@@ -0,0 +1,145 @@
+#include <ragwortrelay/scheduling/serverbook.h>
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace RagwortRelay;
+using namespace RagwortRelay::Scheduling;
+using std::chrono::milliseconds;
+
+namespace {
+
+const ServiceId Desk("desk");
+const Asker Self{HostId("h1"), FailureDomainId("d1")};
+
+Configuration::ServerDirectory directoryOf(int count)
+{
+    Configuration::ServerDirectory directory;
+    for (int i = 1; i <= count; ++i) {
+        Configuration::Server server;
+        server.m_id = ServerId("s" + std::to_string(i));
+        server.m_service = Desk;
+        server.m_address = "10.0.0." + std::to_string(i) + ":80";
+        server.m_domain = FailureDomainId("d1");
+        server.m_slots = 2;
+        directory.m_servers.emplace(server.m_id, server);
+    }
+    return directory;
+}
+
+Draw drawOf(std::uint64_t number, bool idempotent)
+{
+    Draw draw;
+    draw.m_number = number;
+    draw.m_service = Desk;
+    draw.m_idempotent = idempotent;
+    return draw;
+}
+
+DrawDone doneOf(std::uint64_t number, const ServerId &server, AttemptEnd end)
+{
+    return {number, server, end, milliseconds(100), 0, 0, false};
+}
+
+}
+
+TEST_CASE("picking a server")
+{
+    ServerBook book;
+    const PickSettings settings;
+    RandomGenerator random(1);
+    TimePoint now{std::chrono::seconds(100)};
+    setServers(book, directoryOf(4), now);
+
+    SECTION("an idle one goes before one that works")
+    {
+        const auto first = pickServer(book, settings, drawOf(1, true), Self, random, now);
+        REQUIRE(first);
+        startDraw(book, settings, {Self.m_host, 1}, *first, Self, now);
+        for (std::uint64_t i = 2; i <= 4; ++i) {
+            const auto next = pickServer(book, settings, drawOf(i, true), Self, random, now);
+            REQUIRE(next);
+            CHECK(book.m_servers.at(*next).m_running.empty());
+            startDraw(book, settings, {Self.m_host, i}, *next, Self, now);
+        }
+    }
+    SECTION("none is free")
+    {
+        for (std::uint64_t i = 1; i <= 8; ++i) {
+            startDraw(book, settings, {Self.m_host, i}, *pickServer(book, settings, drawOf(i, true), Self, random, now), Self, now);
+        }
+        CHECK(pickServer(book, settings, drawOf(9, true), Self, random, now).error() == PickFailure::AllBusy);
+    }
+    SECTION("a service without servers")
+    {
+        Draw draw = drawOf(1, true);
+        draw.m_service = ServiceId("nothing");
+        CHECK(pickServer(book, settings, draw, Self, random, now).error() == PickFailure::NoServer);
+    }
+    SECTION("one that failed a moment ago isn't picked for a request that may run only once")
+    {
+        startDraw(book, settings, {Self.m_host, 1}, ServerId("s2"), Self, now);
+        endDraw(book, settings, doneOf(1, ServerId("s2"), AttemptEnd::Broken), Self, now);
+        for (std::uint64_t i = 2; i < 30; ++i) {
+            CHECK(*pickServer(book, settings, drawOf(i, false), Self, random, now) != ServerId("s2"));
+        }
+    }
+    SECTION("one that can't be reached from one host is picked for another")
+    {
+        startDraw(book, settings, {Self.m_host, 1}, ServerId("s2"), Self, now);
+        endDraw(book, settings, doneOf(1, ServerId("s2"), AttemptEnd::Unreachable), Self, now);
+        now += std::chrono::seconds(3);
+        const Asker other{HostId("h2"), FailureDomainId("d1")};
+        const auto sicknessFor = [&](const Asker &asker) {
+            return Health::sicknessFor(settings.m_suspicion, book.m_servers.at(ServerId("s2")).m_suspicion, asker.m_host, asker.m_domain, now);
+        };
+        CHECK(sicknessFor(Self) > sicknessFor(other));
+        CHECK(sicknessFor(other) < settings.m_avoidAbove);
+    }
+    SECTION("a leaving one gets nothing")
+    {
+        auto directory = directoryOf(4);
+        directory.m_servers.at(ServerId("s1")).m_use = Configuration::ServerUse::Leaving;
+        CHECK(setServers(book, directory, now).empty());
+        for (std::uint64_t i = 1; i < 30; ++i) {
+            CHECK(*pickServer(book, settings, drawOf(i, true), Self, random, now) != ServerId("s1"));
+        }
+    }
+    SECTION("a server that starts anew under its name is another server")
+    {
+        endDraw(book, settings, doneOf(1, ServerId("s2"), AttemptEnd::Broken), Self, now);
+        auto directory = directoryOf(4);
+        directory.m_servers.at(ServerId("s2")).m_incarnation = 5;
+        CHECK(setServers(book, directory, now) == std::vector{ServerId("s2")});
+        CHECK(book.m_servers.at(ServerId("s2")).m_suspicion.m_byDomain.empty());
+    }
+}
+
+TEST_CASE("regression: sound servers without requests while their service fails")
+{
+    // Servers that had failed got nothing for two seconds and more, also after they had recovered.
+    ServerBook book;
+    const PickSettings settings;
+    RandomGenerator random(1);
+    TimePoint now{std::chrono::seconds(100)};
+    constexpr int Servers = 18;
+    setServers(book, directoryOf(Servers), now);
+    const std::set<std::string> sick{"s1", "s2", "s3", "s4", "s5", "s6", "s7"};
+    std::map<ServerId, TimePoint> lastUsed;
+    std::size_t fewest = Servers;
+    for (std::uint64_t i = 1; i <= 2000; ++i) {
+        now += milliseconds(25);
+        const auto server = pickServer(book, settings, drawOf(i, false), Self, random, now);
+        REQUIRE(server);
+        startDraw(book, settings, {Self.m_host, i}, *server, Self, now);
+        const bool fails = sick.contains(server->text()) || i % 12 == 0;
+        endDraw(book, settings, doneOf(i, *server, fails ? AttemptEnd::Broken : AttemptEnd::Succeeded), Self, now);
+        lastUsed[*server] = now;
+        if (i > 400) {
+            const auto used = std::ranges::count_if(lastUsed, [&](const auto &entry) { return now - entry.second < std::chrono::seconds(2); });
+            fewest = std::min(fewest, static_cast<std::size_t>(used));
+        }
+    }
+    CHECK(static_cast<double>(fewest) >= 0.7 * Servers);
+}
