Bring tables up to date row by row, and write large tables in parts

Cause: each change of a table was taken in whole: the follower kept a second copy of all rows, a change rebuilt the catalogue and parsed all servers, and the lead packed the same changes once for each follower.

What changes: the follower hands on the rows of the last answer; a shared table finds rows by version; the catalogue and the servers take changed rows only, in place unless a request holds the catalogue; changes are packed once for all followers that know the same. The command line splits a table into edits of 50 rows, those first that others refer to.

--- /dev/null
+++ b/fuzz/platform.cpp
@@ -0,0 +1,30 @@
+// Reads any bytes as what others write into the platform's store: the configuration, a server's entry, an answer of the store. Whatever is
+// read, a configuration that is refused leaves the catalogue as it was.
+
+#include <platform/configuration.h>
+#include <platform/servers.h>
+#include <platform/storeformat.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size) // NOLINT(readability-identifier-naming): the name is libFuzzer's
+{
+    using namespace RagwortRelay;
+    const std::string bytes(reinterpret_cast<const char *>(data), size);
+    const Store::Row row{{Platform::ConfigurationTable, {}, "config"}, bytes, 2, false};
+    Configuration::Catalogue catalogue;
+    const auto changed = Platform::updateCatalogue(catalogue, {&row});
+    if ((!changed || !*changed) && catalogue != Configuration::Catalogue()) {
+        std::abort();
+    }
+    if (Platform::readServer(row).has_value() && size == 0) {
+        std::abort();
+    }
+    for (const std::uint16_t status : {200, 412}) {
+        (void)Platform::decodeAnswer(Store::ReadRows{}, status, bytes);
+        (void)Platform::decodeAnswer(Store::Transact{}, status, bytes);
+    }
+    return 0;
+}
--- a/include/ragwortrelay/configuration/catalogue.h
+++ b/include/ragwortrelay/configuration/catalogue.h
@@ -49,13 +49,6 @@
     friend bool operator==(const Server &, const Server &) = default;
 };
 
-/// The backend servers that may be used, apart from the catalogue since they come and go more often.
-struct ServerDirectory {
-    std::map<ServerId, Server> m_servers;
-
-    friend bool operator==(const ServerDirectory &, const ServerDirectory &) = default;
-};
-
 /// A service that gets a share of a route's requests.
 struct ServiceShare {
     ServiceId m_service;
--- a/include/ragwortrelay/configuration/storedtable.h
+++ b/include/ragwortrelay/configuration/storedtable.h
@@ -5,7 +5,7 @@
 #include <ragwortrelay/store/store.h>
 
 #include <cstddef>
-#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,9 +21,15 @@
 /// Returns the name of the stored row for a row of the table. Thread-safe, like all functions here.
 std::string storedName(const RowKey &key);
 
-/// Reads the stored rows; one that can't be read is left out.
-/// @param version of the last change among them
-Table readStoredTable(const std::map<std::string, Store::Row> &rows, std::uint64_t version);
+/// Reads a stored row, or one that was erased; nothing when it can't be read.
+std::optional<Row> readStoredRow(const Store::Row &stored);
+
+/// Reads the name of a stored row; nothing when it names no row of the table.
+std::optional<RowKey> readStoredName(const std::string &name);
+
+/// Brings a table up to date with stored rows that have changed; one that can't be read leaves its row as it was.
+/// Not thread-safe on one table.
+void updateTable(Table &table, const std::vector<const Store::Row *> &changed);
 
 /// Returns the transaction that makes an edit, if the rows are still as it is based on.
 /// Precondition: the edit has MostRowsOfEdit rows at most.
--- a/include/ragwortrelay/configuration/table.h
+++ b/include/ragwortrelay/configuration/table.h
@@ -26,8 +26,4 @@
     friend bool operator==(const Change &, const Change &) = default;
 };
 
-/// Applies the next change of the chain.
-/// Precondition: none; a change that isn't the next one is left out. Returns whether it was applied. Not thread-safe on one table.
-bool applyChange(Table &table, const Change &change);
-
 }
--- a/include/ragwortrelay/fleet/sharedtable.h
+++ b/include/ragwortrelay/fleet/sharedtable.h
@@ -7,7 +7,9 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace RagwortRelay::Fleet {
@@ -23,6 +25,7 @@
 /// be told which ones went.
 struct SharedTable {
     std::map<std::string, Store::Row> m_rows; ///< By name.
+    std::set<std::pair<std::uint64_t, std::string>> m_byVersion; ///< Names of the rows by their versions.
     std::uint64_t m_version = 0; ///< Up to which it is known; 0 for nothing.
     std::uint64_t m_changed = 0; ///< Version of the last change that is known.
     std::uint64_t m_forgotten = 0; ///< Erased rows up to this version are no longer known.
@@ -30,8 +33,8 @@
     PartialNews m_partial;
 };
 
-/// Returns the rows that are there, without the erased ones.
-std::map<std::string, Store::Row> rowsOf(const SharedTable &table);
+/// Returns the rows that changed after a version, erased ones among them, in the order of their versions. Linear in these rows.
+std::vector<const Store::Row *> changedSince(const SharedTable &table, std::uint64_t version);
 
 /// Takes over what a host knows from the store. Returns whether any row has changed. Not thread-safe on one table.
 /// @param outcome of the call that was answered last
--- a/include/ragwortrelay/host/source.h
+++ b/include/ragwortrelay/host/source.h
@@ -3,18 +3,18 @@
 #include <ragwortrelay/configuration/catalogue.h>
 #include <ragwortrelay/core/error.h>
 #include <ragwortrelay/store/store.h>
-
 #include <ragwortrelay/workspaces/authentication.h>
 
 #include <tl/expected.hpp>
 
-#include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace RagwortRelay::Host {
 
-/// Rows of a table by name.
-using Rows = std::map<std::string, Store::Row>;
+/// Rows of a table that have changed, erased ones among them, in the order of their versions.
+using ChangedRows = std::vector<const Store::Row *>;
 
 /// Where the configuration and the backend servers come from.
 struct Source {
@@ -22,11 +22,12 @@
     std::string m_serverTable; ///< May be the same table.
     std::string m_hostTable = "ragwortrelay-hosts"; ///< Where hosts register.
     bool m_hasOwnTable = false; ///< Operators edit the configuration through the hosts.
-    /// Reads the catalogue; an error leaves the one in force.
-    /// @param changed version of the last change in the table
-    tl::expected<Configuration::Catalogue, Error> (*m_readCatalogue)(const Rows &rows, Store::Version changed) = nullptr;
-    /// Reads the servers; an entry that can't be read is left out and reported.
-    Configuration::ServerDirectory (*m_readServers)(const Rows &rows, Findings &findings) = nullptr;
+    /// Brings a catalogue up to date. Returns whether it has changed; an error leaves it as it was.
+    tl::expected<bool, Error> (*m_updateCatalogue)(Configuration::Catalogue &catalogue, const ChangedRows &changed) = nullptr;
+    /// Tells which server a row is about; nothing when it is about something else.
+    std::optional<ServerId> (*m_serverOf)(const std::string &rowName) = nullptr;
+    /// Reads a server from its row.
+    tl::expected<Configuration::Server, Error> (*m_readServer)(const Store::Row &row) = nullptr;
     /// Reads a workspace key from the value of its header.
     std::optional<Workspaces::PresentedKey> (*m_readKey)(const std::string &value) = nullptr;
 };
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -122,6 +122,7 @@
 struct KnownTable {
     Fleet::SharedTable m_shared;
     Store::Follower m_follower;
+    std::uint64_t m_taken = 0; ///< Version of the last change that was brought in force.
     bool m_isRead = false; ///< This host follows it in the store at present.
     Fleet::TableStand m_leadStand; ///< How far the lead knows it, by its last pulse.
 };
@@ -183,7 +184,8 @@
     Fleet::Incarnation m_incarnation = 0;
     Store::ClockMap m_storeClock;
     std::array<KnownTable, Fleet::TableKinds> m_tables; ///< By TableKind.
-    std::shared_ptr<const Configuration::Catalogue> m_catalogue; ///< Empty before the first one.
+    std::shared_ptr<Configuration::Catalogue> m_catalogue; ///< Empty before the first one. Requests that hold it keep it as it is.
+    Configuration::Table m_ownTable; ///< As the operators see it.
     Fleet::Roster m_roster;
     Fleet::Leadership m_leadership;
     std::map<HostId, FollowerTables> m_followerTables;
--- a/include/ragwortrelay/scheduling/serverbook.h
+++ b/include/ragwortrelay/scheduling/serverbook.h
@@ -90,10 +90,13 @@
     std::map<ServiceId, ServiceState> m_services;
 };
 
-/// Brings the book in line with the directory. A server with another service, address or incarnation is another server.
-/// @return servers of which earlier connections must not be used any more
+/// Takes over what is listed of a server. One with another service, address or incarnation than before is another server.
+/// @return whether it replaces one of which earlier connections must not be used any more
 /// Not thread-safe on one book, like all functions that change it.
-std::vector<ServerId> setServers(ServerBook &book, const Configuration::ServerDirectory &directory, TimePoint now);
+bool setServer(ServerBook &book, const Configuration::Server &server, TimePoint now);
+
+/// Forgets a server. Returns whether there was one.
+bool eraseServer(ServerBook &book, const ServerId &id);
 
 /// Why pickServer() returned none.
 enum class PickFailure : std::uint8_t {
--- a/include/ragwortrelay/store/follower.h
+++ b/include/ragwortrelay/store/follower.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace RagwortRelay::Store {
 
@@ -36,7 +37,8 @@
 struct Follower {
     std::string m_table;
     FollowerSettings m_settings;
-    std::map<std::string, Row> m_rows; ///< By name, of the empty part.
+    std::vector<Row> m_news; ///< Rows of the empty part that the last answer brought, or all of them.
+    bool m_newsAreWhole = false; ///< m_news holds the whole table.
     std::map<std::string, Row> m_reading; ///< Of a full read in several calls.
     Version m_readingVersion = 0; ///< Of the first of these calls; changes since then are followed afterwards.
     StoreTime m_readingTime{}; ///< Of the first of these calls.
--- a/src/cli/tableclient.cpp
+++ b/src/cli/tableclient.cpp
@@ -1,3 +1,4 @@
+#include <ragwortrelay/configuration/storedtable.h>
 #include <ragwortrelay/detail/cli/output.h>
 #include <ragwortrelay/detail/cli/tableclient.h>
 #include <ragwortrelay/operators/codec.h>
@@ -150,6 +151,20 @@
     return last;
 }
 
+/// Splits an edit into parts that the store takes in one transaction each, such that no row comes before those that it refers to.
+std::vector<Configuration::EditTable> partsOf(const Configuration::EditTable &edit)
+{
+    std::vector<Configuration::RowEdit> rows = edit.m_rows;
+    std::ranges::stable_sort(rows, {}, [](const Configuration::RowEdit &row) { return row.m_key.m_kind; });
+    std::vector<Configuration::EditTable> parts;
+    for (std::size_t start = 0; start < std::max<std::size_t>(1, rows.size()); start += Configuration::MostRowsOfEdit) {
+        const std::size_t end = std::min(rows.size(), start + Configuration::MostRowsOfEdit);
+        const auto first = rows.begin() + static_cast<std::ptrdiff_t>(start);
+        parts.push_back({edit.m_changeId, edit.m_author, {first, rows.begin() + static_cast<std::ptrdiff_t>(end)}});
+    }
+    return parts;
+}
+
 ExitCode printUnresolved(const Configuration::EditTable &edit, const std::string &reason, bool mayBeWritten)
 {
     printError({ErrorId::PlatformUnreachable, reason});
@@ -161,6 +176,24 @@
     return ExitCode::Failed;
 }
 
+/// Prints why an edit wasn't made.
+ExitCode printFailure(const Configuration::EditTable &edit, const tl::expected<Operators::Reply, Error> &reply, const Configuration::TableFile &file)
+{
+    if (!reply) {
+        return printUnresolved(edit, reply.error().m_message, true);
+    }
+    if (const auto *conflict = std::get_if<Operators::EditConflict>(&*reply)) {
+        printConflict(*conflict, edit);
+        return ExitCode::Failed;
+    }
+    if (const auto *refused = std::get_if<Operators::EditRefused>(&*reply)) {
+        printFindings(Configuration::placeFindings(refused->m_findings, file));
+        return ExitCode::Failed;
+    }
+    const auto &unresolved = std::get<Operators::EditUnresolved>(*reply);
+    return printUnresolved(edit, unresolved.m_reason, unresolved.m_mayBeWritten);
+}
+
 }
 
 EditArguments::EditArguments(TCLAP::CmdLine &commandLine)
@@ -242,23 +275,21 @@
 
 ExitCode submitEdit(EditArguments &arguments, const Configuration::EditTable &edit, const Configuration::TableFile &file, const std::string &key)
 {
-    const auto reply = sendEdit(arguments.endpoints(), edit);
-    if (!reply) {
-        return printUnresolved(edit, reply.error().m_message, true);
-    }
-    if (const auto *done = std::get_if<Operators::EditDone>(&*reply)) {
-        return finishEdit(arguments, edit, done->m_version, key);
-    }
-    if (const auto *conflict = std::get_if<Operators::EditConflict>(&*reply)) {
-        printConflict(*conflict, edit);
-        return ExitCode::Failed;
-    }
-    if (const auto *refused = std::get_if<Operators::EditRefused>(&*reply)) {
-        printFindings(Configuration::placeFindings(refused->m_findings, file));
-        return ExitCode::Failed;
+    std::uint64_t version = 0;
+    std::size_t written = 0;
+    for (const Configuration::EditTable &part : partsOf(edit)) {
+        const auto reply = sendEdit(arguments.endpoints(), part);
+        const auto *done = reply ? std::get_if<Operators::EditDone>(&*reply) : nullptr;
+        if (done == nullptr) {
+            if (written > 0) {
+                std::cerr << written << " of " << edit.m_rows.size() << " rows were written; the same command goes on with the others\n";
+            }
+            return printFailure(part, reply, file);
+        }
+        version = done->m_version;
+        written += part.m_rows.size();
     }
-    const auto &unresolved = std::get<Operators::EditUnresolved>(*reply);
-    return printUnresolved(edit, unresolved.m_reason, unresolved.m_mayBeWritten);
+    return finishEdit(arguments, edit, version, key);
 }
 
 }
--- a/src/cli/tablecommands.cpp
+++ b/src/cli/tablecommands.cpp
@@ -155,7 +155,7 @@
 
 ExitCode tableApply(Arguments arguments)
 {
-    TCLAP::CmdLine commandLine("Writes the rows of a table file that were edited, all or none", ' ', Version);
+    TCLAP::CmdLine commandLine("Writes the rows of a table file that were edited, in transactions of 50 rows", ' ', Version);
     EditArguments edit(commandLine);
     TCLAP::SwitchArg dryRun("", "dry-run", "Only prints what would be written", commandLine);
     TCLAP::UnlabeledValueArg<std::string> name("file", "Table file", true, "", "FILE", commandLine);
--- a/src/configuration/storedtable.cpp
+++ b/src/configuration/storedtable.cpp
@@ -22,16 +22,9 @@
     return Json{{"cells", row.m_cells}, {"change", edit.m_changeId}, {"author", edit.m_author}}.dump();
 }
 
-std::optional<RowKey> keyFrom(const std::string &name)
-{
-    const std::size_t slash = name.find('/');
-    const auto [kind, known] = rowKindFrom(name.substr(0, slash));
-    return known && slash != std::string::npos ? std::optional(RowKey{kind, name.substr(slash + 1)}) : std::nullopt;
-}
-
 std::optional<StoredRow> decodeRow(const Store::Row &stored)
 {
-    const auto key = keyFrom(stored.m_key.m_name);
+    const auto key = readStoredName(stored.m_key.m_name);
     const Json json = Json::parse(stored.m_value, nullptr, false);
     if (!key || !json.is_object()) {
         return std::nullopt;
@@ -56,17 +49,34 @@
     return toString(key.m_kind) + '/' + key.m_name;
 }
 
-Table readStoredTable(const std::map<std::string, Store::Row> &rows, std::uint64_t version)
+std::optional<RowKey> readStoredName(const std::string &name)
+{
+    const std::size_t slash = name.find('/');
+    const auto [kind, known] = rowKindFrom(name.substr(0, slash));
+    return known && slash != std::string::npos ? std::optional(RowKey{kind, name.substr(slash + 1)}) : std::nullopt;
+}
+
+std::optional<Row> readStoredRow(const Store::Row &stored)
+{
+    if (stored.m_erased) {
+        const auto key = readStoredName(stored.m_key.m_name);
+        return key ? std::optional(Row{*key, stored.m_version, {}, true}) : std::nullopt;
+    }
+    const auto row = decodeRow(stored);
+    return row ? std::optional(row->m_row) : std::nullopt;
+}
+
+void updateTable(Table &table, const std::vector<const Store::Row *> &changed)
 {
-    Table table;
-    table.m_version = version;
-    for (const auto &[name, stored] : rows) {
-        const auto row = decodeRow(stored);
-        if (row) {
-            table.m_rows.emplace(row->m_row.m_key, row->m_row);
+    for (const Store::Row *stored : changed) {
+        table.m_version = std::max(table.m_version, stored->m_version);
+        const auto row = readStoredRow(*stored);
+        if (row && row->m_erased) {
+            table.m_rows.erase(row->m_key);
+        } else if (row) {
+            table.m_rows[row->m_key] = *row;
         }
     }
-    return table;
 }
 
 Store::Transact transactionOf(const EditTable &edit)
--- a/src/configuration/table.cpp
+++ b/src/configuration/table.cpp
@@ -37,16 +37,4 @@
     return {RowKind::Service, false};
 }
 
-bool applyChange(Table &table, const Change &change)
-{
-    if (change.m_version != table.m_version + 1) {
-        return false;
-    }
-    for (const Row &row : change.m_rows) {
-        table.m_rows[row.m_key] = row;
-    }
-    table.m_version = change.m_version;
-    return true;
-}
-
 }
--- a/src/fleet/sharedtable.cpp
+++ b/src/fleet/sharedtable.cpp
@@ -38,13 +38,13 @@
 }
 
 /// Rows of a table on their way to another host: name, version, value; an erased one has no value.
-std::string packRows(const std::vector<Store::Row> &rows)
+std::string packRows(const std::vector<const Store::Row *> &rows)
 {
     auto list = nlohmann::json::array();
-    for (const Store::Row &row : rows) {
-        auto entry = nlohmann::json::array({row.m_key.m_name, row.m_version});
-        if (!row.m_erased) {
-            entry.push_back(nlohmann::json::binary({row.m_value.begin(), row.m_value.end()}));
+    for (const Store::Row *row : rows) {
+        auto entry = nlohmann::json::array({row->m_key.m_name, row->m_version});
+        if (!row->m_erased) {
+            entry.push_back(nlohmann::json::binary({row->m_value.begin(), row->m_value.end()}));
         }
         list.push_back(std::move(entry));
     }
@@ -69,38 +69,59 @@
     return rows;
 }
 
+void put(SharedTable &table, Store::Row row)
+{
+    const std::string name = row.m_key.m_name;
+    Store::Row &known = table.m_rows[name];
+    table.m_byVersion.erase({known.m_version, name});
+    table.m_byVersion.emplace(row.m_version, name);
+    table.m_changed = std::max(table.m_changed, row.m_version);
+    known = std::move(row);
+}
+
 /// Marks the rows as erased that a whole table doesn't have.
-bool eraseOthers(SharedTable &table, const std::map<std::string, Store::Row> &whole, std::uint64_t version)
+bool eraseOthers(SharedTable &table, const std::set<std::string> &whole, std::uint64_t version)
 {
-    bool changed = false;
-    for (auto &[name, row] : table.m_rows) {
+    std::vector<Store::Row> gone;
+    for (const auto &[name, row] : table.m_rows) {
         if (!row.m_erased && !whole.contains(name) && row.m_version <= version) {
-            row.m_erased = true;
-            row.m_value.clear();
-            row.m_version = version;
-            table.m_changed = std::max(table.m_changed, version);
-            changed = true;
+            gone.push_back({row.m_key, {}, version, true});
         }
     }
-    return changed;
+    for (Store::Row &row : gone) {
+        put(table, std::move(row));
+    }
+    return !gone.empty();
 }
 
 void forgetErased(SharedTable &table)
 {
     std::vector<std::uint64_t> versions;
-    for (const auto &[name, row] : table.m_rows) {
-        if (row.m_erased) {
-            versions.push_back(row.m_version);
+    for (const auto &[version, name] : table.m_byVersion) {
+        if (table.m_rows.at(name).m_erased) {
+            versions.push_back(version);
         }
     }
     if (versions.size() <= MostErased) {
         return;
     }
-    std::ranges::sort(versions);
     table.m_forgotten = versions[versions.size() - MostErased / 2];
+    std::erase_if(table.m_byVersion, [&](const auto &entry) { return entry.first <= table.m_forgotten && table.m_rows.at(entry.second).m_erased; });
     std::erase_if(table.m_rows, [&](const auto &entry) { return entry.second.m_erased && entry.second.m_version <= table.m_forgotten; });
 }
 
+/// Takes in rows that were read or told. Returns whether any is news.
+bool takeRows(SharedTable &table, const std::vector<Store::Row> &rows, bool isWhole, std::uint64_t version)
+{
+    bool changed = false;
+    std::set<std::string> names;
+    for (const Store::Row &row : rows) {
+        changed = takeRow(table, row) || changed;
+        names.insert(row.m_key.m_name);
+    }
+    return (isWhole && eraseOthers(table, names, version)) || changed;
+}
+
 std::optional<std::string> joined(const PartialNews &partial)
 {
     std::string bytes;
@@ -148,13 +169,11 @@
 
 }
 
-std::map<std::string, Store::Row> rowsOf(const SharedTable &table)
+std::vector<const Store::Row *> changedSince(const SharedTable &table, std::uint64_t version)
 {
-    std::map<std::string, Store::Row> rows;
-    for (const auto &[name, row] : table.m_rows) {
-        if (!row.m_erased) {
-            rows.emplace_hint(rows.end(), name, row);
-        }
+    std::vector<const Store::Row *> rows;
+    for (auto entry = table.m_byVersion.lower_bound({version + 1, {}}); entry != table.m_byVersion.end(); ++entry) {
+        rows.push_back(&table.m_rows.at(entry->second));
     }
     return rows;
 }
@@ -165,13 +184,7 @@
     if (isOld || outcome == Store::FollowOutcome::Failed) {
         return false;
     }
-    bool changed = false;
-    if (outcome == Store::FollowOutcome::Changed) {
-        for (const auto &[name, row] : follower.m_rows) {
-            changed = takeRow(table, row) || changed;
-        }
-        changed = eraseOthers(table, follower.m_rows, follower.m_version) || changed;
-    }
+    const bool changed = takeRows(table, follower.m_news, follower.m_newsAreWhole, follower.m_version);
     table.m_version = follower.m_version;
     if (follower.m_confirmedAt) {
         table.m_confirmedAt = std::max(table.m_confirmedAt.value_or(*follower.m_confirmedAt), *follower.m_confirmedAt);
@@ -182,12 +195,11 @@
 
 bool takeRow(SharedTable &table, const Store::Row &row)
 {
-    Store::Row &known = table.m_rows[row.m_key.m_name];
-    if (known.m_version >= row.m_version) {
+    const auto known = table.m_rows.find(row.m_key.m_name);
+    if (known != table.m_rows.end() && known->second.m_version >= row.m_version) {
         return false;
     }
-    known = row;
-    table.m_changed = std::max(table.m_changed, row.m_version);
+    put(table, row);
     return true;
 }
 
@@ -196,7 +208,6 @@
     if (follower.m_isRunning || table.m_version <= follower.m_version) {
         return;
     }
-    follower.m_rows = rowsOf(table);
     follower.m_version = table.m_version;
     follower.m_mustRead = false;
     follower.m_reading.clear();
@@ -223,12 +234,9 @@
         return {};
     }
     const std::uint64_t since = theirs.m_version < table.m_forgotten ? 0 : theirs.m_version;
-    std::vector<Store::Row> rows;
-    for (const auto &[name, row] : table.m_rows) {
-        const bool isNews = row.m_version > since && !(row.m_erased && since == 0);
-        if (isNews) {
-            rows.push_back(row);
-        }
+    std::vector<const Store::Row *> rows = changedSince(table, since);
+    if (since == 0) {
+        std::erase_if(rows, [](const Store::Row *row) { return row->m_erased; });
     }
     const std::string plain = packRows(rows);
     if (plain.size() > MostNewsBytes) {
@@ -262,15 +270,7 @@
         return false;
     }
     partial = {};
-    bool changed = false;
-    std::map<std::string, Store::Row> whole;
-    for (const Store::Row &row : *rows) {
-        changed = takeRow(table, row) || changed;
-        whole.emplace(row.m_key.m_name, row);
-    }
-    if (part.m_since == 0) {
-        changed = eraseOthers(table, whole, part.m_version) || changed;
-    }
+    const bool changed = takeRows(table, *rows, part.m_since == 0, part.m_version);
     table.m_version = part.m_version;
     forgetErased(table);
     return changed;
--- a/src/host/fleet.cpp
+++ b/src/host/fleet.cpp
@@ -398,14 +398,22 @@
         }
         return;
     }
-    const std::uint64_t version = state.m_tables[index].m_shared.m_version;
+    const Fleet::SharedTable &table = state.m_tables[index].m_shared;
+    std::map<std::uint64_t, std::vector<Fleet::NewsPart>> news; // By what its receivers know; most know the same.
     for (auto &[host, tables] : state.m_followerTables) {
-        if (tables.m_told.size() == Fleet::TableKinds && state.m_leadership.m_followers.contains(host)) {
-            Fleet::TableStand known = tables.m_told[index];
-            known.m_version = std::max(known.m_version, tables.m_sent[index]);
-            sendNews(state, host, kind, known);
-            tables.m_sent[index] = version; // A loss shows with the next pulse of the follower.
+        if (tables.m_told.size() != Fleet::TableKinds || !state.m_leadership.m_followers.contains(host)) {
+            continue;
         }
+        Fleet::TableStand known = tables.m_told[index];
+        known.m_version = std::max(known.m_version, tables.m_sent[index]);
+        const auto [parts, isNew] = news.try_emplace(known.m_version);
+        if (isNew) {
+            parts->second = Fleet::newsFor(table, kind, known);
+        }
+        for (const Fleet::NewsPart &part : parts->second) {
+            sendTo(state, host, part);
+        }
+        tables.m_sent[index] = table.m_version; // A loss shows with the next pulse of the follower.
     }
     noteSlowest(state);
 }
--- a/src/host/operators.cpp
+++ b/src/host/operators.cpp
@@ -22,12 +22,6 @@
 /// For so long an edit that refers to a row which this host doesn't know waits for news of the row.
 constexpr Duration PatienceForRows = std::chrono::seconds(1);
 
-Configuration::Table ownTable(const State &state)
-{
-    const Fleet::SharedTable &table = tableOf(state, TableKind::Configuration).m_shared;
-    return Configuration::readStoredTable(Fleet::rowsOf(table), table.m_changed);
-}
-
 bool isChangeId(const std::string &text)
 {
     const auto allowed = [](unsigned char letter) { return std::isalnum(letter) != 0 || letter == '-' || letter == '_'; };
@@ -87,7 +81,7 @@
     if (running.m_committed > 0) {
         return awaitSpread(state, call, now, actions);
     }
-    const Findings findings = Configuration::checkChange(ownTable(state), {}, Configuration::changeOf(running.m_edit, 0));
+    const Findings findings = Configuration::checkChange(state.m_ownTable, {}, Configuration::changeOf(running.m_edit, 0));
     const bool mayBeNews = std::ranges::any_of(findings, [](const Finding &finding) { return finding.m_id == ErrorId::TableBrokenReference; });
     if (mayBeNews && now - running.m_arrivedAt < PatienceForRows) {
         running.m_retryAt = now + RetryInterval;
@@ -174,7 +168,7 @@
         return answer(actions, asked.m_call, spreadOf(state, spread->m_version));
     }
     if (std::holds_alternative<Operators::ShowTable>(asked.m_command)) {
-        return answer(actions, asked.m_call, Operators::TableShown{ownTable(state)});
+        return answer(actions, asked.m_call, Operators::TableShown{state.m_ownTable});
     }
     if (std::holds_alternative<Operators::ShowBurn>(asked.m_command)) {
         return startBurnReport(state, asked.m_call, actions);
--- a/src/host/ownsource.cpp
+++ b/src/host/ownsource.cpp
@@ -5,15 +5,39 @@
 
 namespace {
 
-tl::expected<Configuration::Catalogue, Error> readCatalogue(const Rows &rows, Store::Version changed)
+using Configuration::RowKind;
+
+tl::expected<bool, Error> updateCatalogue(Configuration::Catalogue &catalogue, const ChangedRows &changed)
+{
+    Configuration::Change change;
+    change.m_version = catalogue.m_version;
+    for (const Store::Row *stored : changed) {
+        change.m_version = std::max(change.m_version, stored->m_version);
+        auto row = Configuration::readStoredRow(*stored);
+        if (row) {
+            change.m_rows.push_back(std::move(*row));
+        }
+    }
+    Configuration::updateCatalogue(catalogue, change);
+    return true;
+}
+
+std::optional<ServerId> serverOf(const std::string &rowName)
 {
-    Findings findings; // Were reported to the operator who made the edit.
-    return Configuration::buildCatalogue(Configuration::readStoredTable(rows, changed), findings);
+    const auto key = Configuration::readStoredName(rowName);
+    return key && key->m_kind == RowKind::Server ? std::optional(ServerId(key->m_name)) : std::nullopt;
 }
 
-Configuration::ServerDirectory readServers(const Rows &rows, Findings &findings)
+tl::expected<Configuration::Server, Error> readServer(const Store::Row &row)
 {
-    return {Configuration::buildCatalogue(Configuration::readStoredTable(rows, 0), findings).m_servers};
+    Configuration::Table table;
+    Configuration::updateTable(table, {&row});
+    Findings findings;
+    const Configuration::Catalogue catalogue = Configuration::buildCatalogue(table, findings);
+    if (catalogue.m_servers.empty()) {
+        return tl::unexpected(Error{ErrorId::TableBadCell, findings.empty() ? "the row can't be read" : toString(findings.front())});
+    }
+    return catalogue.m_servers.begin()->second;
 }
 
 }
@@ -23,8 +47,9 @@
     Source source;
     source.m_configurationTable = Configuration::StoredTable;
     source.m_serverTable = Configuration::StoredTable;
-    source.m_readCatalogue = readCatalogue;
-    source.m_readServers = readServers;
+    source.m_updateCatalogue = updateCatalogue;
+    source.m_serverOf = serverOf;
+    source.m_readServer = readServer;
     source.m_readKey = Workspaces::parseBearer;
     source.m_hasOwnTable = true;
     return source;
--- a/src/host/tables.cpp
+++ b/src/host/tables.cpp
@@ -1,3 +1,4 @@
+#include <ragwortrelay/configuration/storedtable.h>
 #include <ragwortrelay/detail/host/duties.h>
 
 #include <algorithm>
@@ -22,18 +23,34 @@
     return unanswered == nullptr ? "unexpected answer" : unanswered->m_reason;
 }
 
+/// Returns the catalogue to change: the one in force, or a copy when requests still hold that one.
+std::shared_ptr<Configuration::Catalogue> catalogueToChange(const State &state)
+{
+    if (!state.m_catalogue) {
+        return std::make_shared<Configuration::Catalogue>();
+    }
+    const bool isShared = state.m_catalogue.use_count() > 1;
+    return isShared ? std::make_shared<Configuration::Catalogue>(*state.m_catalogue) : state.m_catalogue;
+}
+
 /// Brings a configuration in force unless it is older than the one that is.
 void takeConfiguration(State &state, TimePoint now, Actions &actions)
 {
-    const Fleet::SharedTable &table = tableOf(state, TableKind::Configuration).m_shared;
-    auto catalogue = state.m_source.m_readCatalogue(Fleet::rowsOf(table), table.m_changed);
-    if (!catalogue) {
+    KnownTable &table = tableOf(state, TableKind::Configuration);
+    const ChangedRows rows = Fleet::changedSince(table.m_shared, table.m_taken);
+    table.m_taken = table.m_shared.m_changed;
+    if (state.m_source.m_hasOwnTable) {
+        Configuration::updateTable(state.m_ownTable, rows);
+    }
+    const std::uint64_t version = state.m_catalogue ? state.m_catalogue->m_version : 0;
+    const auto catalogue = catalogueToChange(state);
+    const auto changed = state.m_source.m_updateCatalogue(*catalogue, rows);
+    if (!changed) {
         log(actions,
-            LogLine("configuration-unreadable", Severity::Error).with("error", toString(catalogue.error().m_id)).with("detail", catalogue.error().m_message));
+            LogLine("configuration-unreadable", Severity::Error).with("error", toString(changed.error().m_id)).with("detail", changed.error().m_message));
         return;
     }
-    const std::uint64_t version = state.m_catalogue ? state.m_catalogue->m_version : 0;
-    if (state.m_catalogue && catalogue->m_version <= version) {
+    if (!*changed) {
         return;
     }
     log(actions,
@@ -42,40 +59,54 @@
             .with("before", static_cast<std::int64_t>(version))
             .with("routes", static_cast<std::int64_t>(catalogue->m_routes.size()))
             .with("workspaces", static_cast<std::int64_t>(catalogue->m_workspaces.size())));
-    state.m_catalogue = std::make_shared<const Configuration::Catalogue>(std::move(*catalogue));
+    state.m_catalogue = catalogue;
     Scheduling::setCatalogue(state.m_scheduler, *state.m_catalogue, now);
     if (state.m_catalogue->m_callerLimits) {
         actions.emplace_back(SetCallerLimits{*state.m_catalogue->m_callerLimits});
     }
 }
 
-void logDirectoryChange(const Scheduling::ServerBook &book, const Configuration::ServerDirectory &directory, Actions &actions)
+void logServer(const Scheduling::ServerBook &book, const Configuration::Server &server, Actions &actions)
 {
-    for (const auto &[id, server] : directory.m_servers) {
-        const auto known = book.m_servers.find(id);
-        const bool isNew = known == book.m_servers.end();
-        if (isNew || known->second.m_server.m_use != server.m_use || known->second.m_server.m_incarnation != server.m_incarnation) {
-            const char *use = server.m_use == Configuration::ServerUse::Active ? "active" : "leaving";
-            log(actions, LogLine("server-listed").with("server", id.text()).with("service", server.m_service.text()).with("use", use));
-        }
+    const auto known = book.m_servers.find(server.m_id);
+    const bool isNew = known == book.m_servers.end();
+    if (isNew || known->second.m_server.m_use != server.m_use || known->second.m_server.m_incarnation != server.m_incarnation) {
+        const char *use = server.m_use == Configuration::ServerUse::Active ? "active" : "leaving";
+        log(actions, LogLine("server-listed").with("server", server.m_id.text()).with("service", server.m_service.text()).with("use", use));
     }
-    for (const auto &[id, known] : book.m_servers) {
-        if (!directory.m_servers.contains(id)) {
-            log(actions, LogLine("server-gone").with("server", id.text()).with("service", known.m_server.m_service.text()));
+}
+
+/// Takes in a row about a server; one that can't be read names none.
+void takeServer(State &state, const ServerId &id, const Store::Row &row, TimePoint now, Actions &actions)
+{
+    Scheduling::ServerBook &book = state.m_scheduler.m_book;
+    const auto server = row.m_erased ? tl::unexpected(Error{}) : state.m_source.m_readServer(row);
+    if (server) {
+        logServer(book, *server, actions);
+        if (Scheduling::setServer(book, *server, now)) {
+            actions.emplace_back(DropConnections{id});
         }
+        return;
+    }
+    if (!row.m_erased) {
+        log(actions, LogLine("server-unreadable", Severity::Warning).with("server", id.text()).with("detail", server.error().m_message));
+    }
+    if (Scheduling::eraseServer(book, id)) {
+        log(actions, LogLine("server-gone").with("server", id.text()));
+        actions.emplace_back(DropConnections{id});
     }
 }
 
 void takeServers(State &state, TimePoint now, Actions &actions)
 {
-    Findings findings;
-    const auto directory = state.m_source.m_readServers(Fleet::rowsOf(tableOf(state, TableKind::Servers).m_shared), findings);
-    for (const Finding &finding : findings) {
-        log(actions, LogLine("server-unreadable", Severity::Warning).with("finding", toString(finding)));
-    }
-    logDirectoryChange(state.m_scheduler.m_book, directory, actions);
-    for (const ServerId &replaced : Scheduling::setServers(state.m_scheduler.m_book, directory, now)) {
-        actions.emplace_back(DropConnections{replaced});
+    KnownTable &table = tableOf(state, TableKind::Servers);
+    const ChangedRows rows = Fleet::changedSince(table.m_shared, table.m_taken);
+    table.m_taken = table.m_shared.m_changed;
+    for (const Store::Row *row : rows) {
+        const auto id = state.m_source.m_serverOf(row->m_key.m_name);
+        if (id) {
+            takeServer(state, *id, *row, now, actions);
+        }
     }
 }
 
--- a/src/scheduling/serverbook.cpp
+++ b/src/scheduling/serverbook.cpp
@@ -243,29 +243,32 @@
 
 }
 
-std::vector<ServerId> setServers(ServerBook &book, const Configuration::ServerDirectory &directory, TimePoint now)
+bool setServer(ServerBook &book, const Configuration::Server &server, TimePoint now)
 {
-    std::vector<ServerId> replaced;
-    std::erase_if(book.m_servers, [&](const auto &entry) {
-        const auto listed = directory.m_servers.find(entry.first);
-        const bool isGone = listed == directory.m_servers.end() || !isSameServer(listed->second, entry.second.m_server);
-        if (isGone) {
-            replaced.push_back(entry.first);
-        }
-        return isGone;
-    });
-    for (auto &[id, service] : book.m_services) {
-        service.m_servers.clear();
+    const auto known = book.m_servers.find(server.m_id);
+    const bool isAnother = known != book.m_servers.end() && !isSameServer(known->second.m_server, server);
+    if (isAnother) {
+        eraseServer(book, server.m_id);
     }
-    for (const auto &[id, server] : directory.m_servers) {
-        const auto [found, isNew] = book.m_servers.try_emplace(id);
-        found->second.m_server = server;
-        if (isNew) {
-            found->second.m_warmAt = now + server.m_warmupLeft;
-        }
-        book.m_services[server.m_service].m_servers.push_back(id);
+    const auto [found, isNew] = book.m_servers.try_emplace(server.m_id);
+    found->second.m_server = server;
+    if (isNew) {
+        found->second.m_warmAt = now + server.m_warmupLeft;
+        std::vector<ServerId> &servers = book.m_services[server.m_service].m_servers;
+        servers.insert(std::ranges::upper_bound(servers, server.m_id), server.m_id);
+    }
+    return isAnother;
+}
+
+bool eraseServer(ServerBook &book, const ServerId &id)
+{
+    const auto known = book.m_servers.find(id);
+    if (known == book.m_servers.end()) {
+        return false;
     }
-    return replaced;
+    std::erase(book.m_services[known->second.m_server.m_service].m_servers, id);
+    book.m_servers.erase(known);
+    return true;
 }
 
 tl::expected<ServerId, PickFailure>
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/store/follower.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace RagwortRelay::Store {
@@ -45,8 +46,10 @@
     if (read.m_hasMore) {
         return FollowOutcome::Unchanged;
     }
-    follower.m_rows = std::move(follower.m_reading);
-    follower.m_reading.clear();
+    for (auto &[name, row] : std::exchange(follower.m_reading, {})) {
+        follower.m_news.push_back(std::move(row));
+    }
+    follower.m_newsAreWhole = true;
     follower.m_version = follower.m_readingVersion;
     follower.m_mustRead = false;
     confirm(follower, earliestInstant(clock, follower.m_readingTime));
@@ -55,13 +58,8 @@
 
 FollowOutcome takeChanges(Follower &follower, const RowsRead &read, const ClockMap &clock)
 {
-    for (const Row &row : read.m_rows) {
-        if (row.m_erased) {
-            follower.m_rows.erase(row.m_key.m_name);
-        } else if (row.m_key.m_part.empty()) {
-            follower.m_rows[row.m_key.m_name] = row;
-        }
-    }
+    std::ranges::copy_if(read.m_rows, std::back_inserter(follower.m_news), [](const Row &row) { return row.m_key.m_part.empty(); });
+    follower.m_newsAreWhole = false;
     follower.m_version = std::max(follower.m_version, read.m_version);
     confirm(follower, earliestInstant(clock, read.m_time));
     return read.m_rows.empty() ? FollowOutcome::Unchanged : FollowOutcome::Changed;
@@ -104,6 +102,7 @@
 FollowOutcome takeAnswer(Follower &follower, const Result &result, ClockMap &clock, TimePoint now)
 {
     follower.m_isRunning = false;
+    follower.m_news.clear();
     if (const auto *read = std::get_if<RowsRead>(&result)) {
         noteSuccess(follower, *read, clock, now);
         return follower.m_mustRead ? takePage(follower, *read, clock) : takeChanges(follower, *read, clock);
