--- a/standins/demo.py
+++ b/standins/demo.py
@@ -221,8 +221,8 @@
             fleet,
             traffic,
             text,
-            lambda mode=mode: fleet.platform.control(f"/standin/fault?mode={mode}"),
-            lambda: fleet.platform.control("/standin/fault?mode=none"),
+            lambda mode=mode: fleet.store.control(f"/standin/fault?mode={mode}"),
+            lambda: fleet.store.control("/standin/fault?mode=none"),
         )
         proof.check(good > 0, f"{text}: {good} of {total} answered well")
 
