--- a/include/ragwortrelay/detail/host/duties.h
+++ b/include/ragwortrelay/detail/host/duties.h
@@ -53,9 +53,12 @@
 /// Answers draws that wait in the queues of this host.
 void serveQueues(State &state, TimePoint now, Actions &actions);
 
+/// Tells whether another host decides for this one.
+bool hasLead(const State &state);
+
 // As a lead, or as a host that is asked
 
-void onDraw(State &state, const HostId &from, const Scheduling::Draw &draw, TimePoint now);
+void onDraw(State &state, const HostId &from, const Scheduling::Draw &draw, TimePoint now, Actions &actions);
 void onDrawDone(State &state, const HostId &from, const Scheduling::DrawDone &done, TimePoint now);
 void onDrawWithdrawn(State &state, const HostId &from, const Fleet::DrawWithdrawn &withdrawn, TimePoint now);
 
@@ -106,6 +109,11 @@
 void startBurnReport(State &state, Operators::CallId call, Actions &actions);
 void onLevelsRead(State &state, Operators::CallId call, const Store::Result &result, Actions &actions);
 
+// Beliefs
+
+/// Logs which servers this host has begun or ceased to avoid, and which requests it has begun to refuse, when it decides by itself.
+void tellBeliefs(State &state, TimePoint now, Actions &actions);
+
 // Fleet
 
 void onPeerSpoke(State &state, const PeerSpoke &spoke, TimePoint now, Actions &actions);
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -176,6 +176,13 @@
     std::map<HostId, TimePoint> m_leftAlone; ///< Those that could not read either, until when.
 };
 
+/// What was logged of the beliefs of this host.
+struct ToldBeliefs {
+    TimePoint m_at{}; ///< Last look.
+    std::set<ServerId> m_sickServers;
+    std::set<Dispatch::Fingerprint> m_guiltyRequests;
+};
+
 /// State of one host. The present time and all input reach it as arguments of handle().
 struct State {
     HostSettings m_settings;
@@ -211,6 +218,7 @@
     LevelState m_levels;
     std::map<StoreCallId, RunningCall> m_calls;
     std::map<std::string, std::vector<Fleet::Message>> m_outbox; ///< By address; sent at the end of handle().
+    ToldBeliefs m_told;
     Reporting::Counters m_counters;
     AttemptId m_lastAttempt = 0;
     std::uint64_t m_lastDraw = 0;
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -85,9 +85,24 @@
             .with("request", exchange == state.m_exchanges.end() ? "" : exchange->second.m_request.m_facts.m_attemptId)
             .with("server", attempt.m_server.text())
             .with("end", Scheduling::toString(end))
+            .with("fingerprint", std::to_string(attempt.m_fingerprint))
             .with("elapsed_us", (now - attempt.m_startedAt).count()));
 }
 
+/// Logs that a request got no server for its next attempt.
+void logNoServer(const State &state, const Exchange &exchange, const HostId &lead, const DrawAnswer &answer, Actions &actions)
+{
+    log(actions,
+        LogLine("server-denied")
+            .with("request", exchange.m_request.m_facts.m_attemptId)
+            .with("lead", lead.isEmpty() ? state.m_settings.m_host.text() : lead.text())
+            .with("draw", static_cast<std::int64_t>(answer.m_number))
+            .with("reason", Scheduling::toString(answer.m_reason))
+            .with("fingerprint", std::to_string(exchange.m_fingerprint))
+            .with("attempts", exchange.m_sent)
+            .with("retry_after_us", answer.m_retryAfter.count()));
+}
+
 /// Counts an answer, and writes down for its claim that the request was run; for one that is still coming, its end does both.
 void settleAnswered(State &state, ExchangeId id, Exchange &exchange, const KeptAnswer &answer, TimePoint now, Actions &actions)
 {
@@ -119,6 +134,7 @@
             .with("request", exchange.m_request.m_facts.m_attemptId)
             .with("route", exchange.m_route.m_name)
             .with("service", exchange.m_service.text())
+            .with("status", answer.m_status)
             .with("attempts", exchange.m_sent)
             .with("elapsed_us", (now - exchange.m_arrivedAt).count()));
     if (exchange.m_callerGone) {
@@ -230,6 +246,7 @@
             .with("request", exchange.m_request.m_facts.m_attemptId)
             .with("server", server.text())
             .with("lead", lead.text())
+            .with("draw", static_cast<std::int64_t>(granted.m_number))
             .with("service", exchange.m_service.text())
             .with("workspace", exchange.m_workspace.text())
             .with("attempt", exchange.m_sent)
@@ -295,6 +312,7 @@
     if (answer.m_server) {
         return startAttempt(state, id, lead, answer, now, actions);
     }
+    logNoServer(state, state.m_exchanges.at(id), lead, answer, actions);
     giveUp(state, id, problemOf(answer), now, actions);
 }
 
--- /dev/null
+++ b/src/host/beliefs.cpp
@@ -0,0 +1,92 @@
+#include <ragwortrelay/detail/host/duties.h>
+
+namespace RagwortRelay::Host::detail {
+
+namespace {
+
+using Reporting::LogLine;
+using Reporting::Severity;
+
+/// Between two looks, so that a server at the threshold makes few lines.
+constexpr Duration LookInterval = std::chrono::milliseconds(250);
+
+/// Where a server looks worst.
+struct WorstView {
+    FailureDomainId m_domain;
+    double m_sickness = 0.0; ///< Probability.
+};
+
+WorstView worstViewOf(const Health::SuspicionSettings &settings, const Health::ServerSuspicion &server, TimePoint now)
+{
+    WorstView worst;
+    for (const auto &[domain, suspicion] : server.m_byDomain) {
+        const double sickness = Health::sicknessFor(settings, server, {}, domain, now);
+        if (sickness > worst.m_sickness) {
+            worst = {domain, sickness};
+        }
+    }
+    return worst;
+}
+
+LogLine serverLine(const char *event, const ServerId &id, const Scheduling::ServerState &server, const WorstView &view, Severity severity)
+{
+    constexpr double PerMille = 1000.0;
+    return LogLine(event, severity)
+        .with("server", id.text())
+        .with("service", server.m_server.m_service.text())
+        .with("seen_from", view.m_domain.text())
+        .with("sickness_per_mille", static_cast<std::int64_t>(view.m_sickness * PerMille))
+        .with("running", static_cast<std::int64_t>(server.m_running.size()))
+        .with("slots", server.m_server.m_slots);
+}
+
+void tellServers(State &state, TimePoint now, Actions &actions)
+{
+    const Scheduling::PickSettings &settings = state.m_settings.m_scheduling.m_pick;
+    std::set<ServerId> &told = state.m_told.m_sickServers;
+    const auto &servers = state.m_scheduler.m_book.m_servers;
+    std::erase_if(told, [&](const ServerId &id) { return !servers.contains(id); });
+    for (const auto &[id, server] : servers) {
+        const WorstView view = worstViewOf(settings.m_suspicion, server.m_suspicion, now);
+        const bool isSick = view.m_sickness > settings.m_avoidAbove;
+        if (isSick && told.insert(id).second) {
+            log(actions, serverLine("server-suspected", id, server, view, Severity::Warning));
+        } else if (!isSick && told.erase(id) > 0) {
+            log(actions, serverLine("server-trusted", id, server, view, Severity::Info));
+        }
+    }
+}
+
+void tellRequests(State &state, TimePoint now, Actions &actions)
+{
+    const std::vector<Dispatch::Fingerprint> guilty = Scheduling::guiltyRequests(state.m_scheduler, now);
+    for (const Dispatch::Fingerprint fingerprint : guilty) {
+        if (!state.m_told.m_guiltyRequests.contains(fingerprint)) {
+            const auto &crashes = state.m_scheduler.m_suspects.m_crashes.at(fingerprint);
+            log(actions,
+                LogLine("request-quarantined", Severity::Warning)
+                    .with("fingerprint", std::to_string(fingerprint))
+                    .with("crashes", static_cast<std::int64_t>(crashes.size()))
+                    .with("last_server", crashes.rbegin()->second.m_server.text()));
+        }
+    }
+    state.m_told.m_guiltyRequests = {guilty.begin(), guilty.end()};
+}
+
+}
+
+void tellBeliefs(State &state, TimePoint now, Actions &actions)
+{
+    if (now - state.m_told.m_at < LookInterval) {
+        return;
+    }
+    state.m_told.m_at = now;
+    if (hasLead(state)) { // Which has all the evidence, and tells.
+        state.m_told.m_sickServers.clear();
+        return;
+    }
+    tellServers(state, now, actions);
+    tellRequests(state, now, actions);
+}
+
+}
--- a/src/host/draws.cpp
+++ b/src/host/draws.cpp
@@ -32,15 +32,33 @@
     return draw;
 }
 
-bool hasLead(const State &state)
+/// Logs what became of a draw of another host that got no server at once.
+void logDraw(const State &state, const HostId &host, const Draw &draw, const std::optional<DrawAnswer> &answer, Actions &actions)
 {
-    return !Fleet::isLeading(state.m_leadership) && state.m_leadership.m_answeredAt.has_value();
+    if (answer && answer->m_server) {
+        return;
+    }
+    const auto queue = state.m_scheduler.m_queues.find(draw.m_service);
+    const auto pool = state.m_scheduler.m_pools.find(draw.m_workspace);
+    constexpr double PerMille = 1000.0;
+    log(actions,
+        Reporting::LogLine(answer ? "draw-refused" : "draw-queued")
+            .with("for", host.text())
+            .with("draw", static_cast<std::int64_t>(draw.m_number))
+            .with("reason", answer ? Scheduling::toString(answer->m_reason) : "")
+            .with("service", draw.m_service.text())
+            .with("workspace", draw.m_workspace.text())
+            .with("waiting", queue == state.m_scheduler.m_queues.end() ? 0 : static_cast<std::int64_t>(queue->second.m_draws.size()))
+            .with("tokens_per_mille", pool == state.m_scheduler.m_pools.end() ? -1 : static_cast<std::int64_t>(pool->second.m_tokens * PerMille))
+            .with("limits_share_per_mille", static_cast<std::int64_t>(state.m_scheduler.m_share * PerMille))
+            .with("configuration_version", state.m_catalogue ? static_cast<std::int64_t>(state.m_catalogue->m_version) : 0));
 }
 
 void decideAlone(State &state, PendingDraw &pending, TimePoint now, Actions &actions)
 {
     pending.m_lead = {};
     const auto answer = Scheduling::draw(state.m_scheduler, pending.m_draw, selfOf(state), state.m_random, now);
+    logDraw(state, state.m_settings.m_host, pending.m_draw, answer, actions);
     if (answer) {
         onDrawAnswered(state, {}, *answer, now, actions);
     }
@@ -70,6 +88,11 @@
 
 }
 
+bool hasLead(const State &state)
+{
+    return !Fleet::isLeading(state.m_leadership) && state.m_leadership.m_answeredAt.has_value();
+}
+
 void drawServer(State &state, ExchangeId id, DrawPurpose purpose, TimePoint now, Actions &actions)
 {
     Exchange &exchange = state.m_exchanges.at(id);
@@ -147,7 +170,7 @@
     }
 }
 
-void onDraw(State &state, const HostId &from, const Draw &draw, TimePoint now)
+void onDraw(State &state, const HostId &from, const Draw &draw, TimePoint now, Actions &actions)
 {
     const Scheduling::DrawId id{from, draw.m_number};
     const auto granted = state.m_scheduler.m_granted.find(id);
@@ -156,6 +179,7 @@
         answer = DrawAnswer{draw.m_number, granted->second.m_server, {}, {}, {}};
     } else if (!Scheduling::isQueued(state.m_scheduler, id)) {
         answer = Scheduling::draw(state.m_scheduler, draw, askerOf(state, from), state.m_random, now);
+        logDraw(state, from, draw, answer, actions);
     }
     if (!answer) {
         return sendTo(state, from, Fleet::DrawQueued{draw.m_number});
--- a/src/host/fleet.cpp
+++ b/src/host/fleet.cpp
@@ -225,7 +225,7 @@
             } else if constexpr (std::is_same_v<Type, Fleet::NewsPart>) {
                 onNews(state, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, Scheduling::Draw>) {
-                onDraw(state, from, typed, now);
+                onDraw(state, from, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, Fleet::DrawQueued>) {
                 onDrawQueued(state, from, typed);
             } else if constexpr (std::is_same_v<Type, Scheduling::DrawAnswer>) {
--- a/src/host/tables.cpp
+++ b/src/host/tables.cpp
@@ -70,9 +70,15 @@
 {
     const auto known = book.m_servers.find(server.m_id);
     const bool isNew = known == book.m_servers.end();
-    if (isNew || known->second.m_server.m_use != server.m_use || known->second.m_server.m_incarnation != server.m_incarnation) {
+    const bool isOther = isNew || known->second.m_server.m_use != server.m_use || known->second.m_server.m_incarnation != server.m_incarnation;
+    if (isOther || known->second.m_server.m_address != server.m_address) {
         const char *use = server.m_use == Configuration::ServerUse::Active ? "active" : "leaving";
-        log(actions, LogLine("server-listed").with("server", server.m_id.text()).with("service", server.m_service.text()).with("use", use));
+        log(actions,
+            LogLine("server-listed")
+                .with("server", server.m_id.text())
+                .with("service", server.m_service.text())
+                .with("address", server.m_address)
+                .with("use", use));
     }
 }
 
--- a/tests/fakes/owntable.h
+++ b/tests/fakes/owntable.h
@@ -37,6 +37,13 @@
     return table;
 }
 
+/// Returns the version of a row, as one of the hosts knows it.
+inline std::uint64_t versionOf(const FakeWorld &world, Configuration::RowKind kind, const std::string &name)
+{
+    const auto &rows = world.m_hosts.begin()->second.m_tables[0].m_shared.m_rows;
+    return rows.at(Configuration::toString(kind) + '/' + name).m_version;
+}
+
 /// Starts hosts h1, h2 and so on, and gives them the first table.
 inline void startOwnFleet(FakeWorld &world, int hosts, int servers)
 {
--- /dev/null
+++ b/tests/host/beliefs.cpp
@@ -0,0 +1,114 @@
+#include "../fakes/owntable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace RagwortRelay;
+using namespace RagwortRelay::Fakes;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::vector<std::pair<HostId, Reporting::LogLine>> linesOf(const FakeWorld &world, const std::string &event)
+{
+    std::vector<std::pair<HostId, Reporting::LogLine>> lines;
+    for (const auto &[host, line] : world.m_log) {
+        if (line.m_event == event) {
+            lines.emplace_back(host, line);
+        }
+    }
+    return lines;
+}
+
+std::string fieldOf(const Reporting::LogLine &line, const std::string &name)
+{
+    for (const auto &[field, value] : line.m_fields) {
+        if (field == name) {
+            return value;
+        }
+    }
+    return {};
+}
+
+void sendSome(FakeWorld &world, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        world.request(HostId("h" + std::to_string(i % 3 + 1)), "/page" + std::to_string(i), OwnKey);
+        world.run(milliseconds(30));
+    }
+}
+
+}
+
+TEST_CASE("lines of the log about what a host believes")
+{
+    FakeWorld world(11);
+    bool isFailing = true;
+    const ServerId failing("b2");
+    world.m_server = [&](const ServedAttempt &attempt) {
+        const bool fails = isFailing && attempt.m_start.m_server == failing;
+        return std::pair(Duration(milliseconds(20)), FakeWorld::answered(attempt.m_start.m_attempt, fails ? 500 : 200));
+    };
+    startOwnFleet(world, 3, 4);
+
+    SECTION("a server that fails is suspected once, by the host that decides, and trusted again when it works")
+    {
+        sendSome(world, 60);
+        const auto suspected = linesOf(world, "server-suspected");
+        REQUIRE(suspected.size() == 1);
+        CHECK(suspected.front().first == world.lead());
+        CHECK(fieldOf(suspected.front().second, "server") == "b2");
+        CHECK(std::stoi(fieldOf(suspected.front().second, "sickness_per_mille")) > 300);
+        CHECK(linesOf(world, "server-trusted").empty());
+        isFailing = false;
+        sendSome(world, 300);
+        CHECK(linesOf(world, "server-trusted").size() == 1);
+        CHECK(linesOf(world, "server-suspected").size() == 1);
+    }
+
+    SECTION("sound servers make no line")
+    {
+        isFailing = false;
+        sendSome(world, 60);
+        CHECK(linesOf(world, "server-suspected").empty());
+    }
+}
+
+TEST_CASE("lines of the log from a refused request to its cause")
+{
+    FakeWorld world(12);
+    startOwnFleet(world, 3, 1);
+    const auto kind = Configuration::RowKind::Workspace;
+    const Configuration::Cells lowLimit{{"rate", "1"}, {"burst", "1"}};
+    world.command(HostId("h1"), Operators::EditTable{"limit", "operator", {rowEdit(kind, "w1", lowLimit, versionOf(world, kind, "w1"))}});
+    world.run(seconds(6));
+    const HostId asking = world.lead() == HostId("h1") ? HostId("h2") : HostId("h1");
+    for (int i = 0; i < 6; ++i) {
+        world.request(asking, "/page", OwnKey);
+    }
+    world.run(seconds(1));
+
+    const auto refused = linesOf(world, "request-refused");
+    REQUIRE_FALSE(refused.empty());
+    const std::string request = fieldOf(refused.front().second, "request");
+    CHECK(fieldOf(refused.front().second, "error") == "RW0304");
+
+    std::string draw;
+    for (const auto &[host, line] : linesOf(world, "server-denied")) {
+        if (fieldOf(line, "request") == request) {
+            draw = fieldOf(line, "draw");
+            CHECK(fieldOf(line, "reason") == "over-limit");
+            CHECK(fieldOf(line, "lead") == world.lead().text());
+        }
+    }
+    REQUIRE_FALSE(draw.empty());
+    bool isExplained = false;
+    for (const auto &[host, line] : linesOf(world, "draw-refused")) {
+        if (fieldOf(line, "draw") == draw && fieldOf(line, "for") == asking.text()) {
+            isExplained = true;
+            CHECK(host == world.lead());
+            CHECK(std::stoi(fieldOf(line, "tokens_per_mille")) < 1000);
+        }
+    }
+    CHECK(isExplained);
+}
--- a/tests/host/owntable.cpp
+++ b/tests/host/owntable.cpp
@@ -17,12 +17,6 @@
 const HostId One("h1");
 const HostId Two("h2");
 
-std::uint64_t versionOf(const FakeWorld &world, RowKind kind, const std::string &name)
-{
-    const auto &rows = world.m_hosts.begin()->second.m_tables[0].m_shared.m_rows;
-    return rows.at(Configuration::toString(kind) + '/' + name).m_version;
-}
-
 EditTable setRate(const FakeWorld &world, const std::string &changeId, const std::string &rate)
 {
     return {changeId, "operator", {rowEdit(RowKind::Workspace, "w1", {{"rate", rate}, {"burst", "1000"}}, versionOf(world, RowKind::Workspace, "w1"))}};
