Bound the lines about draws that are alike, and tell of a denied draw in the line that ends its request

Ruled out: shares of the limit (the lead had 1000 per mille throughout), dropped lines (none). Now draws alike (service, workspace, outcome) write one line in 100 ms with the count of those left out, and request-refused and request-answered name who denied the last draw, so server-denied is gone. Conclusion: kept; lines of one cause must not grow with the refusals.

--- a/include/ragwortrelay/detail/host/duties.h
+++ b/include/ragwortrelay/detail/host/duties.h
@@ -15,6 +15,9 @@
 /// Answers the caller with a refusal, and forgets the request. A request that may have run is never told that it was not run.
 void refuse(State &state, ExchangeId id, const Dispatch::Problem &problem, TimePoint now, Actions &actions);
 
+/// Adds to a line about a request who denied it a server, and by which draw.
+Reporting::LogLine withDenied(Reporting::LogLine line, const std::optional<DeniedDraw> &denied);
+
 /// Forgets a request; attempts of it that run are cancelled.
 void endExchange(State &state, ExchangeId id, TimePoint now, Actions &actions);
 
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -55,6 +55,13 @@
     std::optional<Dispatch::StoredAnswer> m_stored; ///< Of a request with an idempotency key.
 };
 
+/// A draw that got no server.
+struct DeniedDraw {
+    HostId m_lead; ///< That denied it.
+    std::uint64_t m_number = 0;
+    Scheduling::RefusalReason m_reason{};
+};
+
 /// A caller's request that isn't answered yet.
 struct Exchange {
     RequestArrived m_request;
@@ -71,6 +78,7 @@
     std::uint32_t m_unsent = 0; ///< Attempts that didn't.
     std::set<AttemptId> m_running;
     std::optional<std::uint64_t> m_draw; ///< Draw that waits for its answer.
+    std::optional<DeniedDraw> m_denied; ///< The last one.
     std::optional<KeptAnswer> m_failedAnswer; ///< By which a server says that it failed, kept while another one is tried.
     ClaimUse m_claim = ClaimUse::None;
     bool m_mayHaveRun = false;
@@ -176,9 +184,16 @@
     std::map<HostId, TimePoint> m_leftAlone; ///< Those that could not read either, until when.
 };
 
+/// Draws of one kind that got no server at once.
+struct ToldDraws {
+    TimePoint m_at{}; ///< Of the last line.
+    std::int64_t m_left = 0; ///< Draws since then that got no line.
+};
+
 /// What was logged of the beliefs of this host.
 struct ToldBeliefs {
     TimePoint m_at{}; ///< Last look.
+    std::map<std::tuple<ServiceId, WorkspaceId, std::string>, ToldDraws> m_draws; ///< By what became of them.
     std::set<ServerId> m_sickServers;
     std::set<Dispatch::Fingerprint> m_guiltyRequests;
 };
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -89,20 +89,6 @@
             .with("elapsed_us", (now - attempt.m_startedAt).count()));
 }
 
-/// Logs that a request got no server for its next attempt.
-void logNoServer(const State &state, const Exchange &exchange, const HostId &lead, const DrawAnswer &answer, Actions &actions)
-{
-    log(actions,
-        LogLine("server-denied")
-            .with("request", exchange.m_request.m_facts.m_attemptId)
-            .with("lead", lead.isEmpty() ? state.m_settings.m_host.text() : lead.text())
-            .with("draw", static_cast<std::int64_t>(answer.m_number))
-            .with("reason", Scheduling::toString(answer.m_reason))
-            .with("fingerprint", std::to_string(exchange.m_fingerprint))
-            .with("attempts", exchange.m_sent)
-            .with("retry_after_us", answer.m_retryAfter.count()));
-}
-
 /// Counts an answer, and writes down for its claim that the request was run; for one that is still coming, its end does both.
 void settleAnswered(State &state, ExchangeId id, Exchange &exchange, const KeptAnswer &answer, TimePoint now, Actions &actions)
 {
@@ -130,13 +116,14 @@
     settleAnswered(state, id, exchange, answer, now, actions);
     Reporting::count(state.m_counters, "requests_answered");
     log(actions,
-        LogLine("request-answered")
-            .with("request", exchange.m_request.m_facts.m_attemptId)
-            .with("route", exchange.m_route.m_name)
-            .with("service", exchange.m_service.text())
-            .with("status", answer.m_status)
-            .with("attempts", exchange.m_sent)
-            .with("elapsed_us", (now - exchange.m_arrivedAt).count()));
+        withDenied(LogLine("request-answered")
+                       .with("request", exchange.m_request.m_facts.m_attemptId)
+                       .with("route", exchange.m_route.m_name)
+                       .with("service", exchange.m_service.text())
+                       .with("status", answer.m_status)
+                       .with("attempts", exchange.m_sent)
+                       .with("elapsed_us", (now - exchange.m_arrivedAt).count()),
+                   exchange.m_denied));
     if (exchange.m_callerGone) {
         actions.emplace_back(CancelAttempt{attempt, true});
     } else {
@@ -312,7 +299,7 @@
     if (answer.m_server) {
         return startAttempt(state, id, lead, answer, now, actions);
     }
-    logNoServer(state, state.m_exchanges.at(id), lead, answer, actions);
+    state.m_exchanges.at(id).m_denied = {lead.isEmpty() ? state.m_settings.m_host : lead, answer.m_number, answer.m_reason};
     giveUp(state, id, problemOf(answer), now, actions);
 }
 
--- a/src/host/beliefs.cpp
+++ b/src/host/beliefs.cpp
@@ -81,6 +81,8 @@
         return;
     }
     state.m_told.m_at = now;
+    constexpr Duration ForgetDrawsAfter = std::chrono::seconds(10);
+    std::erase_if(state.m_told.m_draws, [&](const auto &entry) { return now - entry.second.m_at > ForgetDrawsAfter; });
     if (hasLead(state)) { // Which has all the evidence, and tells.
         state.m_told.m_sickServers.clear();
         return;
--- a/src/host/draws.cpp
+++ b/src/host/draws.cpp
@@ -32,33 +32,42 @@
     return draw;
 }
 
-/// Logs what became of a draw of another host that got no server at once.
-void logDraw(const State &state, const HostId &host, const Draw &draw, const std::optional<DrawAnswer> &answer, Actions &actions)
+/// Logs what became of a draw that got no server at once. Of draws alike there is one line in a while.
+void logDraw(State &state, const HostId &host, const Draw &draw, const std::optional<DrawAnswer> &answer, TimePoint now, Actions &actions)
 {
+    constexpr Duration Interval = std::chrono::milliseconds(100);
+    constexpr double PerMille = 1000.0;
     if (answer && answer->m_server) {
         return;
     }
+    const std::string reason = answer ? Scheduling::toString(answer->m_reason) : "";
+    ToldDraws &told = state.m_told.m_draws[{draw.m_service, draw.m_workspace, reason}];
+    if (now - told.m_at < Interval) {
+        ++told.m_left;
+        return;
+    }
     const auto queue = state.m_scheduler.m_queues.find(draw.m_service);
     const auto pool = state.m_scheduler.m_pools.find(draw.m_workspace);
-    constexpr double PerMille = 1000.0;
     log(actions,
         Reporting::LogLine(answer ? "draw-refused" : "draw-queued")
             .with("for", host.text())
             .with("draw", static_cast<std::int64_t>(draw.m_number))
-            .with("reason", answer ? Scheduling::toString(answer->m_reason) : "")
+            .with("reason", reason)
             .with("service", draw.m_service.text())
             .with("workspace", draw.m_workspace.text())
             .with("waiting", queue == state.m_scheduler.m_queues.end() ? 0 : static_cast<std::int64_t>(queue->second.m_draws.size()))
             .with("tokens_per_mille", pool == state.m_scheduler.m_pools.end() ? -1 : static_cast<std::int64_t>(pool->second.m_tokens * PerMille))
             .with("limits_share_per_mille", static_cast<std::int64_t>(state.m_scheduler.m_share * PerMille))
-            .with("configuration_version", state.m_catalogue ? static_cast<std::int64_t>(state.m_catalogue->m_version) : 0));
+            .with("configuration_version", state.m_catalogue ? static_cast<std::int64_t>(state.m_catalogue->m_version) : 0)
+            .with("alike_since_last", told.m_left));
+    told = {now, 0};
 }
 
 void decideAlone(State &state, PendingDraw &pending, TimePoint now, Actions &actions)
 {
     pending.m_lead = {};
     const auto answer = Scheduling::draw(state.m_scheduler, pending.m_draw, selfOf(state), state.m_random, now);
-    logDraw(state, state.m_settings.m_host, pending.m_draw, answer, actions);
+    logDraw(state, state.m_settings.m_host, pending.m_draw, answer, now, actions);
     if (answer) {
         onDrawAnswered(state, {}, *answer, now, actions);
     }
@@ -179,7 +188,7 @@
         answer = DrawAnswer{draw.m_number, granted->second.m_server, {}, {}, {}};
     } else if (!Scheduling::isQueued(state.m_scheduler, id)) {
         answer = Scheduling::draw(state.m_scheduler, draw, askerOf(state, from), state.m_random, now);
-        logDraw(state, from, draw, answer, actions);
+        logDraw(state, from, draw, answer, now, actions);
     }
     if (!answer) {
         return sendTo(state, from, Fleet::DrawQueued{draw.m_number});
--- a/src/host/requests.cpp
+++ b/src/host/requests.cpp
@@ -3,6 +3,7 @@
 #include <ragwortrelay/workspaces/authentication.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace RagwortRelay::Host::detail {
 
@@ -99,19 +100,30 @@
     return exchange;
 }
 
-void logRefusal(const State &state, const std::string &request, const WorkspaceId &workspace, const Problem &problem, TimePoint now, Actions &actions)
+/// Line about a request that isn't passed on.
+LogLine refusalLine(const State &state, const std::string &request, const Problem &problem, TimePoint now)
 {
     const auto age = configurationAge(state, now);
-    log(actions,
-        LogLine("request-refused")
-            .with("request", request)
-            .with("workspace", workspace.text())
-            .with("status", problem.m_status)
-            .with("error", toString(problem.m_id))
-            .with("outcome", Dispatch::toString(problem.m_outcome))
-            .with("detail", problem.m_detail)
-            .with("configuration_version", state.m_catalogue ? static_cast<std::int64_t>(state.m_catalogue->m_version) : 0)
-            .with("configuration_age_us", age ? age->count() : -1));
+    return LogLine("request-refused")
+        .with("request", request)
+        .with("status", problem.m_status)
+        .with("error", toString(problem.m_id))
+        .with("outcome", Dispatch::toString(problem.m_outcome))
+        .with("detail", problem.m_detail)
+        .with("configuration_version", state.m_catalogue ? static_cast<std::int64_t>(state.m_catalogue->m_version) : 0)
+        .with("configuration_age_us", age ? age->count() : -1);
+}
+
+/// The same about one that was admitted.
+LogLine refusalLine(const State &state, const Exchange &exchange, const Problem &problem, TimePoint now)
+{
+    return withDenied(refusalLine(state, exchange.m_request.m_facts.m_attemptId, problem, now)
+                          .with("workspace", exchange.m_workspace.text())
+                          .with("service", exchange.m_service.text())
+                          .with("attempts", exchange.m_sent)
+                          .with("fingerprint", std::to_string(exchange.m_fingerprint))
+                          .with("elapsed_us", (now - exchange.m_arrivedAt).count()),
+                      exchange.m_denied);
 }
 
 void countRefusal(State &state, const Problem &problem)
@@ -121,13 +133,24 @@
 
 }
 
+LogLine withDenied(LogLine line, const std::optional<DeniedDraw> &denied)
+{
+    if (!denied) {
+        return line;
+    }
+    return std::move(line)
+        .with("denied_by", denied->m_lead.text())
+        .with("draw", static_cast<std::int64_t>(denied->m_number))
+        .with("reason", Scheduling::toString(denied->m_reason));
+}
+
 void onRequestArrived(State &state, const RequestArrived &request, TimePoint now, Actions &actions)
 {
     Reporting::count(state.m_counters, "requests");
     auto admitted = admit(state, request, now);
     if (!admitted) {
         countRefusal(state, admitted.error());
-        logRefusal(state, request.m_facts.m_attemptId, {}, admitted.error(), now, actions);
+        log(actions, refusalLine(state, request.m_facts.m_attemptId, admitted.error(), now));
         actions.emplace_back(AnswerProblem{request.m_exchange, admitted.error()});
         return;
     }
@@ -142,7 +165,7 @@
 void onRequestUnread(State &state, const RequestUnread &unread, TimePoint now, Actions &actions)
 {
     Reporting::count(state.m_counters, "requests_refused_unread{id=\"" + toString(unread.m_problem.m_id) + "\"}");
-    logRefusal(state, {}, {}, unread.m_problem, now, actions);
+    log(actions, refusalLine(state, std::string(), unread.m_problem, now));
 }
 
 void refuse(State &state, ExchangeId id, const Problem &problem, TimePoint now, Actions &actions)
@@ -156,7 +179,7 @@
         exact.m_retryAfter.reset();
     }
     countRefusal(state, exact);
-    logRefusal(state, exchange.m_request.m_facts.m_attemptId, exchange.m_workspace, exact, now, actions);
+    log(actions, refusalLine(state, exchange, exact, now));
     if (!exchange.m_callerGone) {
         constexpr std::uint16_t FirstServerError = 500;
         if (exact.m_status >= FirstServerError) { // A refusal that is the caller's doing doesn't count against the service.
