Let an edit wait while a host that has just joined is being found

Cause: tsan's runs of processes_path and processes_large_table failed once each with "this host isn't in touch with most of the hosts": between the row of a newcomer and its first pulse the first host isn't with most of the two. Ruled out: the sanitizer (tests/host/owntable.cpp shows it in simulated time, with messages that take 80 ms: edits 110 to 240 ms after the newcomer's start were refused). Conclusion: an edit waits up to 3 s after a change of the roster.

--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -209,6 +209,7 @@
     std::shared_ptr<Configuration::Catalogue> m_catalogue; ///< Empty before the first one. Requests that hold it keep it as it is.
     Configuration::Table m_ownTable; ///< As the operators see it.
     Fleet::Roster m_roster;
+    TimePoint m_rosterChangedAt{};
     Fleet::Leadership m_leadership;
     std::map<HostId, FollowerTables> m_followerTables;
     std::uint64_t m_slowest = 0; ///< Lowest version of the configuration on the hosts that the lead hears, by its word.
--- a/src/host/operators.cpp
+++ b/src/host/operators.cpp
@@ -19,7 +19,7 @@
 /// Between two looks at whether an edit is in force.
 constexpr Duration SpreadInterval = std::chrono::milliseconds(20);
 
-/// For so long an edit waits on a host that has just started and hasn't found most of the others yet.
+/// For so long an edit waits on a host that hasn't found most of the others yet, when it or one of them has just started.
 constexpr Duration PatienceForMost = std::chrono::seconds(3);
 
 /// For so long an edit that refers to a row which this host doesn't know waits for news of the row.
@@ -76,11 +76,12 @@
     running.m_retryAt = now + SpreadInterval;
 }
 
-/// Gives up an edit of a host that isn't in touch with most of the others; one that has just started looks for them first.
+/// Gives up an edit of a host that isn't in touch with most of the others, unless the hosts are just finding one another.
 void awaitMost(State &state, Operators::CallId call, TimePoint now, Actions &actions)
 {
     RunningEdit &running = state.m_edits.at(call);
-    if (!state.m_hasBeenWithMost && now - running.m_arrivedAt < PatienceForMost) {
+    const bool isSettling = !state.m_hasBeenWithMost || now - state.m_rosterChangedAt < PatienceForMost;
+    if (isSettling && now - running.m_arrivedAt < PatienceForMost) {
         running.m_retryAt = now + RetryInterval;
         return;
     }
--- a/src/host/seats.cpp
+++ b/src/host/seats.cpp
@@ -168,6 +168,7 @@
     }
     if (roster != state.m_roster) {
         state.m_roster = std::move(roster);
+        state.m_rosterChangedAt = now;
         Fleet::setRoster(state.m_leadership, state.m_roster, now);
         log(actions, LogLine("roster-changed").with("hosts", static_cast<std::int64_t>(state.m_roster.size())));
     }
--- a/tests/host/owntable.cpp
+++ b/tests/host/owntable.cpp
@@ -199,6 +199,25 @@
     }
 }
 
+TEST_CASE("regression: an edit was refused while a second host joined the first one")
+{
+    for (const char *newcomer : {"h2", "h3", "h4", "h5", "h6"}) {
+        for (int age = 0; age <= 600; age += 10) {
+            FakeWorld world(6);
+            world.m_source = Host::ownSource();
+            world.m_peerDelay = milliseconds(80);
+            world.start("h1", "d1");
+            world.run(milliseconds(400));
+            world.start(newcomer, "d2");
+            world.run(milliseconds(age));
+            const auto call = world.command(One, firstTable(2));
+            world.run(seconds(4));
+            INFO("after " << age << " ms beside " << newcomer);
+            CHECK(world.replyTo<EditDone>(call));
+        }
+    }
+}
+
 TEST_CASE("requests with an idempotency key")
 {
     FakeWorld world(1);
