--- a/include/ragwortrelay/detail/host/duties.h
+++ b/include/ragwortrelay/detail/host/duties.h
@@ -39,6 +39,9 @@
 /// @param lead that answered; empty when this host did by itself
 void onDrawAnswered(State &state, const HostId &lead, const Scheduling::DrawAnswer &answer, TimePoint now, Actions &actions);
 
+/// Refuses a request of a workspace that is over its limit, as the lead has just said of another one.
+void denyOverLimit(State &state, ExchangeId id, const SpentLimit &spent, TimePoint now, Actions &actions);
+
 // Draws
 
 /// Asks for a server for the next attempt of a request.
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -62,6 +62,13 @@
     Scheduling::RefusalReason m_reason{};
 };
 
+/// A workspace of which the lead has said that it is over its limit.
+struct SpentLimit {
+    DeniedDraw m_denied; ///< By which it said so.
+    TimePoint m_until; ///< Further requests are refused without asking again.
+    TimePoint m_comeBackAt; ///< When a token is likely to be there.
+};
+
 /// A caller's request that isn't answered yet.
 struct Exchange {
     RequestArrived m_request;
@@ -228,6 +235,7 @@
     std::unordered_map<ExchangeId, Exchange> m_exchanges;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::unordered_map<std::uint64_t, PendingDraw> m_draws; ///< Draws that wait for their answers, by number.
+    std::map<WorkspaceId, SpentLimit> m_spentLimits;
     std::multimap<TimePoint, Due> m_due;
     Dispatch::ClaimLedger m_claims;
     std::vector<Dispatch::ClaimVerdict> m_claimVerdicts; ///< To be performed before the present event is done.
--- a/include/ragwortrelay/limits/pool.h
+++ b/include/ragwortrelay/limits/pool.h
@@ -14,6 +14,7 @@
     double m_share = 0.0; ///< Part of the limit that this pool has, 0 to 1.
     double m_tokens = 0.0; ///< In hand.
     TimePoint m_refilledAt;
+    TimePoint m_promisedAt{}; ///< Latest time at which a caller without a token was told to come back.
 
     friend bool operator==(const Pool &, const Pool &) = default;
 };
@@ -33,4 +34,8 @@
 /// Returns how long until a token is there; zero if one is there, nothing if there will be none. Precondition: refilled at `now`.
 std::optional<Duration> waitForToken(const Pool &pool);
 
+/// Returns when a caller that finds no token should come back: each one a token later than the one before, so that not all come at once
+/// and find one token. No later than `longest` from now; nothing if there will be no token.
+std::optional<Duration> promiseToken(Pool &pool, Duration longest, TimePoint now);
+
 }
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -299,10 +299,22 @@
     if (answer.m_server) {
         return startAttempt(state, id, lead, answer, now, actions);
     }
-    state.m_exchanges.at(id).m_denied = {lead.isEmpty() ? state.m_settings.m_host : lead, answer.m_number, answer.m_reason};
+    Exchange &exchange = state.m_exchanges.at(id);
+    exchange.m_denied = {lead.isEmpty() ? state.m_settings.m_host : lead, answer.m_number, answer.m_reason};
+    if (!lead.isEmpty() && answer.m_reason == RefusalReason::OverLimit) {
+        std::erase_if(state.m_spentLimits, [&](const auto &entry) { return entry.second.m_until <= now; });
+        const Duration hold = std::min(answer.m_retryAfter, state.m_settings.m_draws.m_spentHold);
+        state.m_spentLimits[exchange.m_workspace] = {*exchange.m_denied, now + hold, now + answer.m_retryAfter};
+    }
     giveUp(state, id, problemOf(answer), now, actions);
 }
 
+void denyOverLimit(State &state, ExchangeId id, const SpentLimit &spent, TimePoint now, Actions &actions)
+{
+    state.m_exchanges.at(id).m_denied = spent.m_denied;
+    giveUp(state, id, problemOf(DrawAnswer{0, {}, {}, RefusalReason::OverLimit, spent.m_comeBackAt - now}), now, actions);
+}
+
 void onAttemptAnswered(State &state, const AttemptAnswered &answer, TimePoint now, Actions &actions)
 {
     const auto running = state.m_attempts.find(answer.m_attempt);
--- a/src/host/draws.cpp
+++ b/src/host/draws.cpp
@@ -63,6 +63,14 @@
     told = {now, 0};
 }
 
+/// Returns why a request need not be asked for: the lead has just said that its workspace is over its limit.
+const SpentLimit *spentLimit(const State &state, const Exchange &exchange, DrawPurpose purpose, TimePoint now)
+{
+    const auto spent = state.m_spentLimits.find(exchange.m_workspace);
+    const bool isSpent = spent != state.m_spentLimits.end() && now < spent->second.m_until && spent->second.m_denied.m_lead == state.m_leadership.m_lead;
+    return purpose == DrawPurpose::First && isSpent ? &spent->second : nullptr;
+}
+
 void decideAlone(State &state, PendingDraw &pending, TimePoint now, Actions &actions)
 {
     pending.m_lead = {};
@@ -108,6 +116,9 @@
     if (exchange.m_draw) { // Of a hedge, which would be refused where this one may wait.
         withdrawDraw(state, *exchange.m_draw);
     }
+    if (const SpentLimit *spent = spentLimit(state, exchange, purpose, now)) {
+        return denyOverLimit(state, id, *spent, now, actions);
+    }
     const Draw draw = drawFor(state, exchange, purpose, now);
     exchange.m_draw = draw.m_number;
     PendingDraw &pending = state.m_draws[draw.m_number];
--- a/src/limits/pool.cpp
+++ b/src/limits/pool.cpp
@@ -14,6 +14,16 @@
     return pool.m_share > 0.0 ? std::max(LeastBurst, pool.m_burst * pool.m_share) : 0.0;
 }
 
+/// Returns how long it takes until so many tokens have accrued, or nothing if none do.
+std::optional<Duration> timeFor(const Pool &pool, double tokens)
+{
+    const double perSecond = pool.m_rate * pool.m_share;
+    if (perSecond <= 0.0) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(tokens / perSecond));
+}
+
 }
 
 void refill(Pool &pool, TimePoint now)
@@ -53,11 +63,19 @@
     if (pool.m_tokens >= 1.0) {
         return Duration(0);
     }
-    const double perSecond = pool.m_rate * pool.m_share;
-    if (perSecond <= 0.0) {
+    return timeFor(pool, 1.0 - pool.m_tokens);
+}
+
+std::optional<Duration> promiseToken(Pool &pool, Duration longest, TimePoint now)
+{
+    refill(pool, now);
+    const auto wait = waitForToken(pool);
+    const auto interval = timeFor(pool, 1.0);
+    if (!wait || !interval) {
         return std::nullopt;
     }
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((1.0 - pool.m_tokens) / perSecond));
+    pool.m_promisedAt = std::min(now + longest, std::max(now + *wait, pool.m_promisedAt + *interval));
+    return pool.m_promisedAt - now;
 }
 
 }
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -10,6 +10,9 @@
 /// What a caller is told at least to wait after a refusal by overload.
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(50);
 
+/// What a caller is told at most to wait for a token of its workspace.
+constexpr Duration LongestRetryAfter = std::chrono::seconds(1);
+
 DrawAnswer refusal(const Draw &draw, RefusalReason reason, Duration retryAfter)
 {
     return {draw.m_number, std::nullopt, {}, reason, std::max(LeastRetryAfter, retryAfter)};
@@ -37,8 +40,8 @@
     if (draw.m_purpose != DrawPurpose::First || pool == scheduler.m_pools.end() || Limits::takeToken(pool->second, now)) {
         return std::nullopt;
     }
-    const auto wait = Limits::waitForToken(pool->second);
-    return refusal(draw, RefusalReason::OverLimit, wait.value_or(std::chrono::seconds(1)));
+    const auto wait = Limits::promiseToken(pool->second, LongestRetryAfter, now);
+    return refusal(draw, RefusalReason::OverLimit, wait.value_or(LongestRetryAfter));
 }
 
 /// Takes a further attempt from the budget of its service.
--- a/tests/fakes/fakeworld.h
+++ b/tests/fakes/fakeworld.h
@@ -207,6 +207,7 @@
     std::map<Host::ExchangeId, Host::RequestArrived> m_requests;
     std::vector<ServedAttempt> m_served;
     std::map<HostId, bool> m_ready;
+    std::map<std::pair<HostId, HostId>, std::size_t> m_datagrams; ///< Sent, by sender and receiver.
     std::set<HostId> m_exited;
     std::vector<std::pair<HostId, Reporting::LogLine>> m_log;
     TimePoint m_now{std::chrono::seconds(1000)};
@@ -304,6 +305,7 @@
     void perform(const HostId &host, const Host::SendPeer &message)
     {
         const HostId to(message.m_address);
+        ++m_datagrams[{host, to}];
         if (m_cuts.contains({host, to}) || drawUnit(m_random) < m_lossChance) {
             return;
         }
--- a/tests/host/requests.cpp
+++ b/tests/host/requests.cpp
@@ -1,4 +1,5 @@
 #include "../fakes/faketables.h"
+#include "../fakes/owntable.h"
 
 #include <catch2/catch.hpp>
 
@@ -133,3 +134,27 @@
     CHECK(world.m_served.size() == 2);
     CHECK(world.state(other).m_draws.empty());
 }
+
+TEST_CASE("regression: each request of a workspace over its limit asked the lead, which got too much to do")
+{
+    FakeWorld world(21);
+    startOwnFleet(world, 3, 2);
+    const auto kind = Configuration::RowKind::Workspace;
+    const Configuration::Cells lowLimit{{"rate", "2"}, {"burst", "2"}};
+    world.command(HostId("h1"), Operators::EditTable{"limit", "operator", {rowEdit(kind, "w1", lowLimit, versionOf(world, kind, "w1"))}});
+    world.run(seconds(5));
+    const HostId asking = world.lead() == HostId("h1") ? HostId("h2") : HostId("h1");
+    const auto before = world.m_datagrams[{asking, world.lead()}];
+    for (int i = 0; i < 1000; ++i) {
+        world.request(asking, "/page" + std::to_string(i), OwnKey);
+        world.run(milliseconds(2));
+    }
+    CHECK(world.m_datagrams[{asking, world.lead()}] - before < 60);
+    CHECK(world.countAnswers(429) > 900);
+    CHECK(world.countAnswers(0) >= 4); // Two seconds of its rate: what the host denies by itself takes nothing from the workspace.
+
+    world.run(seconds(2));
+    const auto later = world.request(asking, "/later", OwnKey);
+    world.run(seconds(1));
+    CHECK(world.m_answers.at(later).m_isForwarded);
+}
