--- a/src/loop/backendpool.cpp
+++ b/src/loop/backendpool.cpp
@@ -140,9 +140,12 @@
     const auto found = m_idle.find(server);
     while (found != m_idle.end() && !found->second.empty()) {
         const IdleConnection idle = found->second.back(); // The one that was used last.
+        const bool isUsable = now < idle.m_until && idle.m_connection->isReusable() && idle.m_connection->isQuiet();
+        if (isUsable && use == Host::ConnectionUse::Fresh && now - idle.m_since >= m_settings.m_freshFor) {
+            return nullptr; // Those before it were idle for longer, and are good for other requests.
+        }
         found->second.pop_back();
-        const bool isFreshEnough = use == Host::ConnectionUse::Any || now - idle.m_since < m_settings.m_freshFor;
-        if (now < idle.m_until && isFreshEnough && idle.m_connection->isReusable() && idle.m_connection->isQuiet()) {
+        if (isUsable) {
             idle.m_connection->setIdleHandler(nullptr);
             return idle.m_connection;
         }
--- a/tests/host/requests.cpp
+++ b/tests/host/requests.cpp
@@ -158,3 +158,44 @@
     world.run(seconds(1));
     CHECK(world.m_answers.at(later).m_isForwarded);
 }
+
+TEST_CASE("requests go to servers to which their host has a connection")
+{
+    FakeWorld world(22);
+    startOwnFleet(world, 3, 6);
+    const HostId asking = world.lead() == HostId("h1") ? HostId("h2") : HostId("h1");
+    std::set<ServerId> used;
+    const auto send = [&](Duration pause) {
+        world.m_served.clear();
+        world.request(asking, "/page", OwnKey);
+        world.run(pause);
+        return world.m_served.front().m_start.m_server;
+    };
+
+    SECTION("one after the other all go to the same one")
+    {
+        for (int i = 0; i < 12; ++i) {
+            used.insert(send(seconds(2)));
+        }
+        CHECK(used.size() == 1);
+    }
+
+    SECTION("after a long pause it may be any")
+    {
+        for (int i = 0; i < 12; ++i) {
+            used.insert(send(seconds(6)));
+        }
+        CHECK(used.size() > 1);
+    }
+
+    SECTION("requests that may run only once look for one that was used a moment ago")
+    {
+        for (int i = 0; i < 12; ++i) {
+            world.m_served.clear();
+            world.post(asking, "/book" + std::to_string(i), OwnKey, {});
+            world.run(seconds(2));
+            used.insert(world.m_served.front().m_start.m_server);
+        }
+        CHECK(used.size() > 1);
+    }
+}
