Let a command repeat an edit that was not written, and apply changed workspaces alone to the scheduler

Cause: processes_large_table failed under tsan after 600 rows ("this host isn't in touch with most of the hosts"): with 8 edits at a time the loop of a slow host was busy for longer than three pulses, since each change of the table set the limit of every workspace anew, and the command gave up at once though nothing was written. Ruled out: the roster (unchanged), a data race (tsan reports none). A command whose hosts are away for 7 s: refused / made (test_edit_waits_for_hosts_that_were_away fails without the change).

--- a/include/ragwortrelay/host/source.h
+++ b/include/ragwortrelay/host/source.h
@@ -26,6 +26,8 @@
     tl::expected<bool, Error> (*m_updateCatalogue)(Configuration::Catalogue &catalogue, const ChangedRows &changed) = nullptr;
     /// Tells which server a row is about; nothing when it is about something else.
     std::optional<ServerId> (*m_serverOf)(const std::string &rowName) = nullptr;
+    /// Tells which workspace a row is about; nothing when it is about something else. Not set where one row may change all workspaces.
+    std::optional<WorkspaceId> (*m_workspaceOf)(const std::string &rowName) = nullptr;
     /// Reads a server from its row.
     tl::expected<Configuration::Server, Error> (*m_readServer)(const Store::Row &row) = nullptr;
     /// Reads a workspace key from the value of its header.
--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -79,6 +79,12 @@
 /// Takes over the limits and weights of workspaces, and what is configured about services. Not thread-safe on one scheduler, like all functions that change it.
 void setCatalogue(Scheduler &scheduler, const Configuration::Catalogue &catalogue, TimePoint now);
 
+/// Takes over the limit and weight of one workspace, or forgets it.
+void setWorkspace(Scheduler &scheduler, const Configuration::Catalogue &catalogue, const WorkspaceId &id, TimePoint now);
+
+/// Takes over what is configured about services.
+void setServices(Scheduler &scheduler, const Configuration::Catalogue &catalogue);
+
 /// Sets the part of each limit and budget that this scheduler hands out, 0 to 1.
 void setShare(Scheduler &scheduler, double share, TimePoint now);
 
--- a/src/cli/tableclient.cpp
+++ b/src/cli/tableclient.cpp
@@ -154,6 +154,22 @@
     return last;
 }
 
+/// Sends an edit again while the hosts are looking for one another and nothing was written.
+tl::expected<Operators::Reply, Error>
+sendPatiently(const std::vector<OperatorEndpoint> &endpoints, const Configuration::EditTable &edit, std::uint32_t waitSeconds)
+{
+    constexpr auto Pause = std::chrono::milliseconds(250);
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(waitSeconds);
+    while (true) {
+        auto reply = sendEdit(endpoints, edit);
+        const auto *unresolved = reply ? std::get_if<Operators::EditUnresolved>(&*reply) : nullptr;
+        if (unresolved == nullptr || unresolved->m_mayBeWritten || std::chrono::steady_clock::now() + Pause > deadline) {
+            return reply;
+        }
+        std::this_thread::sleep_for(Pause);
+    }
+}
+
 /// Parts of an edit that may be made in any order.
 using Round = std::vector<Configuration::EditTable>;
 
@@ -189,7 +205,7 @@
 };
 
 /// Sends the parts of a round, several at a time; after a failure no further ones.
-void sendRound(const std::vector<OperatorEndpoint> &endpoints, const Round &round, EditProgress &progress)
+void sendRound(const std::vector<OperatorEndpoint> &endpoints, const Round &round, std::uint32_t waitSeconds, EditProgress &progress)
 {
     constexpr std::size_t PartsAtATime = 8;
     std::mutex mutex;
@@ -200,7 +216,7 @@
     };
     const auto work = [&] {
         while (const Configuration::EditTable *part = take()) {
-            auto reply = sendEdit(endpoints, *part);
+            auto reply = sendPatiently(endpoints, *part, waitSeconds);
             const auto *done = reply ? std::get_if<Operators::EditDone>(&*reply) : nullptr;
             const std::lock_guard lock(mutex);
             if (done != nullptr) {
@@ -333,7 +349,7 @@
 {
     EditProgress progress;
     for (const Round &round : roundsOf(edit)) {
-        sendRound(arguments.endpoints(), round, progress);
+        sendRound(arguments.endpoints(), round, arguments.waitSeconds(), progress);
         if (progress.m_failed) {
             if (progress.m_rows > 0) {
                 std::cerr << progress.m_rows << " of " << edit.m_rows.size() << " rows were written; the same command goes on with the others\n";
--- a/src/host/ownsource.cpp
+++ b/src/host/ownsource.cpp
@@ -28,6 +28,12 @@
     return key && key->m_kind == RowKind::Server ? std::optional(ServerId(key->m_name)) : std::nullopt;
 }
 
+std::optional<WorkspaceId> workspaceOf(const std::string &rowName)
+{
+    const auto key = Configuration::readStoredName(rowName);
+    return key && key->m_kind == RowKind::Workspace ? std::optional(WorkspaceId(key->m_name)) : std::nullopt;
+}
+
 tl::expected<Configuration::Server, Error> readServer(const Store::Row &row)
 {
     Configuration::Table table;
@@ -49,6 +55,7 @@
     source.m_serverTable = Configuration::StoredTable;
     source.m_updateCatalogue = updateCatalogue;
     source.m_serverOf = serverOf;
+    source.m_workspaceOf = workspaceOf;
     source.m_readServer = readServer;
     source.m_readKey = Workspaces::parseBearer;
     source.m_hasOwnTable = true;
--- a/src/host/tables.cpp
+++ b/src/host/tables.cpp
@@ -33,6 +33,20 @@
     return isShared ? std::make_shared<Configuration::Catalogue>(*state.m_catalogue) : state.m_catalogue;
 }
 
+/// Tells the scheduler what has changed in the catalogue. Linear in the rows where they tell what they are about.
+void schedule(State &state, const ChangedRows &changed, TimePoint now)
+{
+    if (state.m_source.m_workspaceOf == nullptr) {
+        return Scheduling::setCatalogue(state.m_scheduler, *state.m_catalogue, now);
+    }
+    for (const Store::Row *row : changed) {
+        if (const auto workspace = state.m_source.m_workspaceOf(row->m_key.m_name)) {
+            Scheduling::setWorkspace(state.m_scheduler, *state.m_catalogue, *workspace, now);
+        }
+    }
+    Scheduling::setServices(state.m_scheduler, *state.m_catalogue);
+}
+
 /// Brings a configuration in force unless it is older than the one that is.
 void takeConfiguration(State &state, TimePoint now, Actions &actions)
 {
@@ -60,7 +74,7 @@
             .with("routes", static_cast<std::int64_t>(catalogue->m_routes.size()))
             .with("workspaces", static_cast<std::int64_t>(catalogue->m_workspaces.size())));
     state.m_catalogue = catalogue;
-    Scheduling::setCatalogue(state.m_scheduler, *state.m_catalogue, now);
+    schedule(state, rows, now);
     if (state.m_catalogue->m_callerLimits) {
         actions.emplace_back(SetCallerLimits{*state.m_catalogue->m_callerLimits});
     }
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -224,36 +224,40 @@
 
 namespace {
 
-void setLimits(Scheduler &scheduler, const Configuration::Catalogue &catalogue, TimePoint now)
+void setLimit(Scheduler &scheduler, const WorkspaceId &id, const Configuration::Workspace *workspace, TimePoint now)
 {
-    std::erase_if(scheduler.m_pools, [&](const auto &entry) {
-        const auto workspace = catalogue.m_workspaces.find(entry.first);
-        return workspace == catalogue.m_workspaces.end() || !workspace->second.m_isLimited;
-    });
-    for (const auto &[id, workspace] : catalogue.m_workspaces) {
-        if (!workspace.m_isLimited) {
-            continue;
-        }
-        const auto [pool, isNew] = scheduler.m_pools.try_emplace(id);
-        if (isNew) {
-            pool->second.m_share = scheduler.m_share;
-            pool->second.m_refilledAt = now;
-        }
-        Limits::setLimit(pool->second, workspace.m_rate, workspace.m_burst, now);
+    if (workspace == nullptr || !workspace->m_isLimited) {
+        scheduler.m_pools.erase(id);
+        return;
+    }
+    const auto [pool, isNew] = scheduler.m_pools.try_emplace(id);
+    if (isNew) {
+        pool->second.m_share = scheduler.m_share;
+        pool->second.m_refilledAt = now;
     }
+    Limits::setLimit(pool->second, workspace->m_rate, workspace->m_burst, now);
 }
 
-void setWeights(Scheduler &scheduler, const Configuration::Catalogue &catalogue)
+void setWeight(Scheduler &scheduler, const WorkspaceId &id, const Configuration::Workspace *workspace)
 {
-    scheduler.m_weights.clear();
-    for (const auto &[id, workspace] : catalogue.m_workspaces) {
-        if (workspace.m_weight != 1.0 && workspace.m_weight > 0.0) {
-            scheduler.m_weights[id] = workspace.m_weight;
-        }
+    if (workspace != nullptr && workspace->m_weight != 1.0 && workspace->m_weight > 0.0) {
+        scheduler.m_weights[id] = workspace->m_weight;
+    } else {
+        scheduler.m_weights.erase(id);
     }
 }
 
-void setPolicies(ServerBook &book, const Configuration::Catalogue &catalogue)
+}
+
+void setWorkspace(Scheduler &scheduler, const Configuration::Catalogue &catalogue, const WorkspaceId &id, TimePoint now)
+{
+    const auto found = catalogue.m_workspaces.find(id);
+    const Configuration::Workspace *workspace = found == catalogue.m_workspaces.end() ? nullptr : &found->second;
+    setLimit(scheduler, id, workspace, now);
+    setWeight(scheduler, id, workspace);
+}
+
+void setServices(Scheduler &scheduler, const Configuration::Catalogue &catalogue)
 {
     for (const auto &[id, service] : catalogue.m_services) {
         ServicePolicy policy;
@@ -262,17 +266,20 @@
             policy.m_sickAbove = service.m_detectFailures;
         }
         policy.m_sickAfter = service.m_detectAfter;
-        book.m_services[id].m_policy = policy;
+        scheduler.m_book.m_services[id].m_policy = policy;
     }
 }
 
-}
-
 void setCatalogue(Scheduler &scheduler, const Configuration::Catalogue &catalogue, TimePoint now)
 {
-    setLimits(scheduler, catalogue, now);
-    setWeights(scheduler, catalogue);
-    setPolicies(scheduler.m_book, catalogue);
+    const auto isGone = [&](const auto &entry) { return !catalogue.m_workspaces.contains(entry.first); };
+    std::erase_if(scheduler.m_pools, isGone);
+    std::erase_if(scheduler.m_weights, isGone);
+    for (const auto &[id, workspace] : catalogue.m_workspaces) {
+        setLimit(scheduler, id, &workspace, now);
+        setWeight(scheduler, id, &workspace);
+    }
+    setServices(scheduler, catalogue);
 }
 
 void setShare(Scheduler &scheduler, double share, TimePoint now)
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -3,7 +3,9 @@
 import http.client
 import json
 import re
+import signal
 import threading
+import time
 import unittest
 
 from fleet import TOKEN, Fleet, bearer, cli, eventually, request
@@ -89,6 +91,17 @@
             self.assertEqual(code, 1)
             self.assertIn("nothing was written", err)
 
+    def test_edit_waits_for_hosts_that_were_away(self):
+        with Fleet(hosts=2) as fleet:
+            fleet.configure()
+            fleet.hosts[1].signal(signal.SIGSTOP)
+            time.sleep(4)
+            waking = threading.Timer(3, lambda: fleet.hosts[1].signal(signal.SIGCONT))
+            waking.start()
+            code, _, err = cli(fleet.hosts[0], "table", "set", "workspace/w1", "rate=5")
+            waking.join()
+            self.assertEqual(code, 0, err)
+
     @staticmethod
     def status_on(connection, key):
         connection.request("GET", "/a", headers=bearer(key))
