Take back the preference for servers to which a host has a connection

The lines show three or four servers with 11 to 19 requests a second while servers that were trusted again got none.

--- a/include/ragwortrelay/host/settings.h
+++ b/include/ragwortrelay/host/settings.h
@@ -18,9 +18,6 @@
 struct DrawSettings {
     Duration m_resendAfter{std::chrono::milliseconds(15)}; ///< A draw that the lead has not answered is sent once more.
     Duration m_decideAfter{std::chrono::milliseconds(40)}; ///< Then the host decides by itself.
-    Duration m_keptFor{std::chrono::seconds(4)}; ///< A connection to a server is taken to be there for so long after its last use.
-    Duration m_freshFor{std::chrono::milliseconds(900)}; ///< The same for requests that may run only once, which need a fresh one.
-    std::size_t m_connectedAtMost = 4; ///< Servers with such connections that a draw names.
     Duration m_spentHold{std::chrono::milliseconds(100)}; ///< A host asks no more for a workspace over its limit for so long.
     Duration m_askInterval{std::chrono::milliseconds(150)}; ///< Between two questions about a draw that waits at the lead.
 
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -236,7 +236,6 @@
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::unordered_map<std::uint64_t, PendingDraw> m_draws; ///< Draws that wait for their answers, by number.
     std::map<WorkspaceId, SpentLimit> m_spentLimits;
-    std::map<ServerId, TimePoint> m_connectedAt; ///< End of the last answer of a server on a connection that was kept.
     std::multimap<TimePoint, Due> m_due;
     Dispatch::ClaimLedger m_claims;
     std::vector<Dispatch::ClaimVerdict> m_claimVerdicts; ///< To be performed before the present event is done.
--- a/include/ragwortrelay/scheduling/draw.h
+++ b/include/ragwortrelay/scheduling/draw.h
@@ -44,7 +44,6 @@
     Duration m_timeLeft{}; ///< Until the request must be answered.
     Duration m_objectiveLeft{}; ///< Until an answer counts less; negative when that is over.
     std::vector<ServerId> m_excluded; ///< Servers that were tried.
-    std::vector<ServerId> m_connected; ///< Servers to which the host has an idle connection.
 
     friend bool operator==(const Draw &, const Draw &) = default;
 
@@ -60,8 +59,7 @@
                         self.m_idempotent,
                         self.m_timeLeft,
                         self.m_objectiveLeft,
-                        self.m_excluded,
-                        self.m_connected);
+                        self.m_excluded);
     }
 };
 
--- a/include/ragwortrelay/scheduling/serverbook.h
+++ b/include/ragwortrelay/scheduling/serverbook.h
@@ -25,7 +25,6 @@
     double m_retryCost = 0.25; ///< Of one that fails and can be sent again.
     double m_occupiedCost = 0.04; ///< Of sharing a server with as many requests as it has slots.
     double m_otherDomainCost = 0.02; ///< Of leaving the failure domain.
-    double m_connectionCost = 0.02; ///< Of a new connection.
     double m_warmupCost = 0.05; ///< Of a server that is slow after its start.
     double m_slownessCost = 0.15; ///< For each time that a server is slower than its service.
     double m_avoidAbove = 0.3; ///< Probability of sickness from which a server gets no more than single trials.
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -223,7 +223,6 @@
         Scheduling::startDraw(
             state.m_scheduler.m_book, state.m_settings.m_scheduling.m_pick, {state.m_settings.m_host, granted.m_number}, server, selfOf(state), now);
     }
-    state.m_connectedAt.erase(server); // In use from now on.
     const AttemptId attempt = ++state.m_lastAttempt;
     state.m_attempts.emplace(attempt, Attempt{id, granted.m_number, lead, server, now, exchange.m_fingerprint});
     exchange.m_running.insert(attempt);
@@ -258,21 +257,6 @@
 
 }
 
-namespace {
-
-/// Notes whether the connection of an attempt that has ended was kept.
-void noteConnection(State &state, const ServerId &server, AttemptEnd end, TimePoint now)
-{
-    if (end == AttemptEnd::Succeeded || end == AttemptEnd::Failed || end == AttemptEnd::Shed) {
-        std::erase_if(state.m_connectedAt, [&](const auto &entry) { return now - entry.second >= state.m_settings.m_draws.m_keptFor; });
-        state.m_connectedAt[server] = now;
-    } else {
-        state.m_connectedAt.erase(server);
-    }
-}
-
-}
-
 std::optional<Attempt> finishAttempt(State &state, AttemptId id, AttemptEnd end, const std::optional<Http::LoadReport> &load, TimePoint now)
 {
     const auto found = state.m_attempts.find(id);
@@ -281,7 +265,6 @@
     }
     const Attempt attempt = found->second;
     state.m_attempts.erase(found);
-    noteConnection(state, attempt.m_server, end, now);
     Scheduling::DrawDone done;
     done.m_number = attempt.m_draw;
     done.m_server = attempt.m_server;
@@ -423,7 +406,6 @@
     if (server != state.m_scheduler.m_book.m_servers.end()) {
         server->second.m_leavingUntil = now + state.m_settings.m_scheduling.m_pick.m_drainHold;
     }
-    state.m_connectedAt.erase(closes.m_server);
 }
 
 void onHedgeDue(State &state, ExchangeId id, TimePoint now, Actions &actions)
--- a/src/host/draws.cpp
+++ b/src/host/draws.cpp
@@ -1,7 +1,6 @@
 #include <ragwortrelay/detail/host/duties.h>
 
 #include <algorithm>
-#include <functional>
 
 namespace RagwortRelay::Host::detail {
 
@@ -15,26 +14,6 @@
 /// Times that a draw which waits at the lead is asked about without an answer.
 constexpr unsigned MostUnanswered = 2;
 
-/// Returns the servers of a service to which this host has a connection that the request may go out on, those used last first.
-std::vector<ServerId> connectedServers(const State &state, const ServiceId &service, bool idempotent, TimePoint now)
-{
-    const DrawSettings &settings = state.m_settings.m_draws;
-    std::vector<std::pair<TimePoint, ServerId>> found;
-    for (const auto &[id, usedAt] : state.m_connectedAt) {
-        const auto server = state.m_scheduler.m_book.m_servers.find(id);
-        const bool isOfService = server != state.m_scheduler.m_book.m_servers.end() && server->second.m_server.m_service == service;
-        if (isOfService && now - usedAt < (idempotent ? settings.m_keptFor : settings.m_freshFor)) {
-            found.emplace_back(usedAt, id);
-        }
-    }
-    std::ranges::sort(found, std::greater<>());
-    std::vector<ServerId> servers;
-    for (std::size_t i = 0; i < std::min(found.size(), settings.m_connectedAtMost); ++i) {
-        servers.push_back(found[i].second);
-    }
-    return servers;
-}
-
 Draw drawFor(State &state, const Exchange &exchange, DrawPurpose purpose, TimePoint now)
 {
     const auto workspace = exchange.m_catalogue->m_workspaces.find(exchange.m_workspace);
@@ -50,7 +29,6 @@
     draw.m_timeLeft = exchange.m_deadline - now;
     draw.m_objectiveLeft = exchange.m_arrivedAt + exchange.m_route.m_latencyObjective - now;
     draw.m_excluded = exchange.m_tried;
-    draw.m_connected = connectedServers(state, draw.m_service, draw.m_idempotent, now);
     return draw;
 }
 
--- a/src/scheduling/serverbook.cpp
+++ b/src/scheduling/serverbook.cpp
@@ -144,7 +144,6 @@
     double cost = candidate.m_sickness * (draw.m_idempotent ? settings.m_retryCost : settings.m_failureCost);
     cost += occupied * settings.m_occupiedCost / state.m_server.m_weight;
     cost += state.m_server.m_domain == asker.m_domain ? 0.0 : settings.m_otherDomainCost;
-    cost += contains(draw.m_connected, state.m_server.m_id) ? 0.0 : settings.m_connectionCost;
     cost += now < state.m_warmAt ? settings.m_warmupCost : 0.0;
     cost += std::max(0.0, state.m_slowness - 1.0) * settings.m_slownessCost;
     return cost;
