--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -26,7 +26,6 @@
     RetryLimit m_retries;
     Dispatch::SuspectSettings m_suspects;
     std::size_t m_queueAtMost = 512; ///< Draws that wait for one service.
-    Duration m_tokenWait{std::chrono::milliseconds(40)}; ///< A request whose token comes so soon waits for it.
     Duration m_overdueInterval{std::chrono::milliseconds(100)}; ///< Between two looks at requests that run for long.
 
     friend bool operator==(const SchedulerSettings &, const SchedulerSettings &) = default;
