Let one piece serve where the engine had written the same again

The gauge of servers still counts listed ones only, as before. - The version of the configuration in force, the common part of a pulse, a draw that isn't used, and the edit of a limit in three tests have one function each; tellConfirmation() asks hasLead(). - Hot path: whether a draw waits is looked up in the queue of its service, not in all; a line of the log is no longer copied before it is written; new settings no longer set all limits anew, which don't depend on them. Tests keep their assertions.

--- a/include/ragwortrelay/detail/host/duties.h
+++ b/include/ragwortrelay/detail/host/duties.h
@@ -172,6 +172,9 @@
 /// Returns when callStore() has something to do at the latest.
 TimePoint nextStoreCallAt(const State &state);
 
+/// Returns the version of the configuration in force; 0 before the first one.
+std::int64_t configurationVersion(const State &state);
+
 /// Returns how old the configuration may be at most; nothing before the first one.
 std::optional<Duration> configurationAge(const State &state, TimePoint now);
 
--- a/include/ragwortrelay/scheduling/draw.h
+++ b/include/ragwortrelay/scheduling/draw.h
@@ -131,4 +131,7 @@
     }
 };
 
+/// Tells of a draw that was granted a server which isn't used. Thread-safe.
+DrawDone unusedDraw(std::uint64_t number, const ServerId &server);
+
 }
--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -102,8 +102,8 @@
 /// Forgets a draw that waits, or one that was granted and not used.
 void withdraw(Scheduler &scheduler, const DrawId &id);
 
-/// Tells whether a draw waits. Linear in the draws that wait.
-bool isQueued(const Scheduler &scheduler, const DrawId &id);
+/// Tells whether a draw waits. Linear in the draws that wait for its service.
+bool isQueued(const Scheduler &scheduler, const ServiceId &service, const DrawId &id);
 
 /// Forgets what was granted to a host before some time and doesn't run there.
 void reconcile(Scheduler &scheduler, const HostId &host, const std::vector<std::uint64_t> &running, TimePoint startedBefore);
--- a/include/ragwortrelay/scheduling/serverbook.h
+++ b/include/ragwortrelay/scheduling/serverbook.h
@@ -97,6 +97,9 @@
 /// Forgets a server. Returns whether there was one.
 bool eraseServer(ServerBook &book, const ServerId &id);
 
+/// Tells whether a server is leaving, by its listing or by its own word. Thread-safe on a state that doesn't change.
+bool isLeaving(const ServerState &state, TimePoint now);
+
 /// Why pickServer() returned none.
 enum class PickFailure : std::uint8_t {
     NoServer, ///< None may be picked.
--- a/src/cli/output.cpp
+++ b/src/cli/output.cpp
@@ -1,4 +1,5 @@
 #include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/http/status.h>
 
 #include <iostream>
 
@@ -18,12 +19,11 @@
 
 ExitCode printAnswer(const tl::expected<OperatorResponse, Error> &response)
 {
-    constexpr long HttpOk = 200;
     if (!response) {
         printError(response.error());
         return ExitCode::Failed;
     }
-    const bool done = response->m_status == HttpOk;
+    const bool done = response->m_status == Http::Status::Ok;
     (done ? std::cout : std::cerr) << response->m_body << '\n';
     return done ? ExitCode::Done : ExitCode::Failed;
 }
--- a/src/cli/reportcommands.cpp
+++ b/src/cli/reportcommands.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/detail/cli/commandgroups.h>
 #include <ragwortrelay/detail/cli/hostarguments.h>
 #include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/http/status.h>
 #include <ragwortrelay/reporting/burn.h>
 
 #include <fstream>
@@ -24,14 +25,13 @@
 
 ExitCode reportBurn(Arguments arguments)
 {
-    constexpr long HttpOk = 200;
     TCLAP::CmdLine commandLine("Prints the service-level burn over all hosts", ' ', Version);
     HostArguments host(commandLine);
     TCLAP::ValueArg<std::string> page("", "html", "Write a page with plots to this file", false, "", "FILE", commandLine);
     TCLAP::SwitchArg json("", "json", "Print JSON", commandLine);
     commandLine.parse(arguments);
     const auto response = askHost(host.endpoint(), "/ragwortrelay/burn", "");
-    if (!response || response->m_status != HttpOk || json.getValue()) {
+    if (!response || response->m_status != Http::Status::Ok || json.getValue()) {
         return printAnswer(response);
     }
     const Reporting::BurnReport report = Reporting::decodeReport(response->m_body);
--- a/src/cli/tableclient.cpp
+++ b/src/cli/tableclient.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/configuration/storedtable.h>
 #include <ragwortrelay/detail/cli/output.h>
 #include <ragwortrelay/detail/cli/tableclient.h>
+#include <ragwortrelay/http/status.h>
 #include <ragwortrelay/operators/codec.h>
 
 #include <nlohmann/json.hpp>
@@ -22,7 +23,6 @@
 using Json = nlohmann::json;
 using Operators::SpreadShown;
 
-constexpr long HttpOk = 200;
 constexpr std::uint32_t DefaultWaitSeconds = 18;
 constexpr std::size_t ChangeIdBytes = 16;
 constexpr auto SpreadInterval = std::chrono::milliseconds(200);
@@ -339,7 +339,7 @@
     if (!response) {
         return tl::unexpected(response.error());
     }
-    if (response->m_status != HttpOk) {
+    if (response->m_status != Http::Status::Ok) {
         return tl::unexpected(Error{ErrorId::OperatorUnauthorized, "the host answered " + std::to_string(response->m_status) + ' ' + response->m_body});
     }
     return Operators::decodeTable(response->m_body);
--- a/src/dispatch/claimledger.cpp
+++ b/src/dispatch/claimledger.cpp
@@ -1,4 +1,5 @@
 #include <ragwortrelay/dispatch/claimledger.h>
+#include <ragwortrelay/http/status.h>
 
 #include <algorithm>
 #include <utility>
@@ -11,24 +12,20 @@
 using Step = Claim::Step;
 using Kind = ClaimCallPurpose::Kind;
 
-constexpr std::uint16_t HttpConflict = 409;
-constexpr std::uint16_t HttpUnprocessable = 422;
-constexpr std::uint16_t HttpServiceUnavailable = 503;
-
 Problem problemUnavailable()
 {
     constexpr Duration RetryAfter = std::chrono::seconds(2);
-    return {HttpServiceUnavailable, ErrorId::RequestClaimUnavailable, Outcome::NotRun, "the idempotency key can't be claimed at present", RetryAfter};
+    return {Http::Status::ServiceUnavailable, ErrorId::RequestClaimUnavailable, Outcome::NotRun, "the idempotency key can't be claimed at present", RetryAfter};
 }
 
 Problem problemKeyReused()
 {
-    return {HttpUnprocessable, ErrorId::RequestIdempotencyKeyReused, Outcome::NotRun, "the idempotency key stands for another request", {}};
+    return {Http::Status::Unprocessable, ErrorId::RequestIdempotencyKeyReused, Outcome::NotRun, "the idempotency key stands for another request", {}};
 }
 
 Problem problemAlreadyRunning()
 {
-    return {HttpConflict, ErrorId::RequestAlreadyRunning, Outcome::Unknown, "another request with this idempotency key runs or was broken off", {}};
+    return {Http::Status::Conflict, ErrorId::RequestAlreadyRunning, Outcome::Unknown, "another request with this idempotency key runs or was broken off", {}};
 }
 
 /// Returns what later requests with the key of a finished claim are told. Precondition: the state is Done or Unknown.
@@ -38,9 +35,11 @@
         return *answer;
     }
     if (state == ClaimState::Done) {
-        return Problem{HttpConflict, ErrorId::RequestAnswerNotKept, Outcome::Unknown, "the request was run and answered; the answer was too large to keep", {}};
+        return Problem{
+            Http::Status::Conflict, ErrorId::RequestAnswerNotKept, Outcome::Unknown, "the request was run and answered; the answer was too large to keep", {}};
     }
-    return Problem{HttpConflict, ErrorId::RequestOutcomeUnknown, Outcome::Unknown, "an earlier request with this idempotency key may have been run", {}};
+    return Problem{
+        Http::Status::Conflict, ErrorId::RequestOutcomeUnknown, Outcome::Unknown, "an earlier request with this idempotency key may have been run", {}};
 }
 
 bool isFinal(ClaimState state)
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -1,4 +1,5 @@
 #include <ragwortrelay/detail/host/duties.h>
+#include <ragwortrelay/http/status.h>
 #include <ragwortrelay/workspaces/authentication.h>
 
 #include <algorithm>
@@ -17,28 +18,20 @@
 using Scheduling::DrawPurpose;
 using Scheduling::RefusalReason;
 
-constexpr std::uint16_t HttpOk = 200;
-constexpr std::uint16_t HttpUnauthorized = 401;
-constexpr std::uint16_t HttpMisdirected = 421;
-constexpr std::uint16_t HttpTooManyRequests = 429;
-constexpr std::uint16_t HttpInternalError = 500;
-constexpr std::uint16_t HttpBadGateway = 502;
-constexpr std::uint16_t HttpServiceUnavailable = 503;
-constexpr std::uint16_t HttpGatewayTimeout = 504;
-
 Problem problemOf(const DrawAnswer &refusal)
 {
     switch (refusal.m_reason) {
     case RefusalReason::OverLimit:
-        return {HttpTooManyRequests, ErrorId::RequestOverLimit, Outcome::NotRun, "the workspace is over its rate", refusal.m_retryAfter};
+        return {Http::Status::TooManyRequests, ErrorId::RequestOverLimit, Outcome::NotRun, "the workspace is over its rate", refusal.m_retryAfter};
     case RefusalReason::NoBudget:
-        return {HttpServiceUnavailable, ErrorId::RequestOverload, Outcome::NotRun, "the service has no retries left", refusal.m_retryAfter};
+        return {Http::Status::ServiceUnavailable, ErrorId::RequestOverload, Outcome::NotRun, "the service has no retries left", refusal.m_retryAfter};
     case RefusalReason::NoServer:
-        return {HttpServiceUnavailable, ErrorId::RequestNoServer, Outcome::NotRun, "no backend server can take the request", refusal.m_retryAfter};
+        return {Http::Status::ServiceUnavailable, ErrorId::RequestNoServer, Outcome::NotRun, "no backend server can take the request", refusal.m_retryAfter};
     case RefusalReason::Overload:
-        return {HttpServiceUnavailable, ErrorId::RequestOverload, Outcome::NotRun, "no backend server has a free slot in time", refusal.m_retryAfter};
+        return {Http::Status::ServiceUnavailable, ErrorId::RequestOverload, Outcome::NotRun, "no backend server has a free slot in time", refusal.m_retryAfter};
     case RefusalReason::Quarantined:
-        return {HttpServiceUnavailable, ErrorId::RequestQuarantined, Outcome::NotRun, "the request has crashed backend servers", refusal.m_retryAfter};
+        return {
+            Http::Status::ServiceUnavailable, ErrorId::RequestQuarantined, Outcome::NotRun, "the request has crashed backend servers", refusal.m_retryAfter};
     }
     return {};
 }
@@ -46,9 +39,9 @@
 AttemptEnd endOf(const AttemptAnswered &answer)
 {
     if (answer.m_facts.m_notRun) {
-        return answer.m_status == HttpMisdirected ? AttemptEnd::Misdirected : AttemptEnd::Shed;
+        return answer.m_status == Http::Status::Misdirected ? AttemptEnd::Misdirected : AttemptEnd::Shed;
     }
-    return answer.m_status >= HttpInternalError ? AttemptEnd::Failed : AttemptEnd::Succeeded;
+    return answer.m_status >= Http::Status::InternalServerError ? AttemptEnd::Failed : AttemptEnd::Succeeded;
 }
 
 AttemptEnd endOf(const AttemptFailed &failure)
@@ -157,7 +150,7 @@
 
 Problem leavingProblem()
 {
-    return {HttpServiceUnavailable, ErrorId::RequestNoServer, Outcome::NotRun, "the backend server is leaving", {}};
+    return {Http::Status::ServiceUnavailable, ErrorId::RequestNoServer, Outcome::NotRun, "the backend server is leaving", {}};
 }
 
 /// Tells why an attempt must not start: the configuration has changed or grown old while the request waited.
@@ -167,10 +160,10 @@
         return std::nullopt;
     }
     if (!mayServeWorkspaces(state, now)) {
-        return Problem{HttpServiceUnavailable, ErrorId::RequestHostIsolated, Outcome::NotRun, "the host's configuration is too old", {}};
+        return Problem{Http::Status::ServiceUnavailable, ErrorId::RequestHostIsolated, Outcome::NotRun, "the host's configuration is too old", {}};
     }
     if (!Workspaces::isValid(*state.m_catalogue, exchange.m_key, exchange.m_workspace)) {
-        return Problem{HttpUnauthorized, ErrorId::RequestUnauthenticated, Outcome::NotRun, "the workspace key was withdrawn", {}};
+        return Problem{Http::Status::Unauthorized, ErrorId::RequestUnauthenticated, Outcome::NotRun, "the workspace key was withdrawn", {}};
     }
     return std::nullopt;
 }
@@ -186,21 +179,10 @@
     }
 }
 
-/// Tells whether this host knows more of a server than whoever granted it: it is leaving.
-bool isLeaving(const State &state, const ServerId &server, TimePoint now)
-{
-    const auto known = state.m_scheduler.m_book.m_servers.find(server);
-    if (known == state.m_scheduler.m_book.m_servers.end()) {
-        return false;
-    }
-    const bool saidSo = known->second.m_leavingUntil && now < *known->second.m_leavingUntil;
-    return saidSo || known->second.m_server.m_use == Configuration::ServerUse::Leaving;
-}
-
 /// Gives back a server that was granted and isn't used.
 void giveBack(State &state, const HostId &lead, const DrawAnswer &granted, TimePoint now)
 {
-    reportDone(state, lead, {granted.m_number, *granted.m_server, AttemptEnd::Abandoned, {}, 0, 0, false, 0}, now);
+    reportDone(state, lead, Scheduling::unusedDraw(granted.m_number, *granted.m_server), now);
 }
 
 void startAttempt(State &state, ExchangeId id, const HostId &lead, const DrawAnswer &granted, TimePoint now, Actions &actions)
@@ -212,13 +194,13 @@
         return giveUp(state, id, *refused, now, actions);
     }
     exchange.m_tried.push_back(server);
-    if (isLeaving(state, server, now)) {
+    const auto known = state.m_scheduler.m_book.m_servers.find(server);
+    const bool isKnown = known != state.m_scheduler.m_book.m_servers.end();
+    if (isKnown && Scheduling::isLeaving(known->second, now)) { // This host knows more of it than whoever granted it.
         giveBack(state, lead, granted, now);
         ++exchange.m_unsent;
         return tryAnother(state, id, DrawPurpose::Instead, leavingProblem(), now, actions);
     }
-    const auto known = state.m_scheduler.m_book.m_servers.find(server);
-    const bool isKnown = known != state.m_scheduler.m_book.m_servers.end();
     if (!lead.isEmpty() && isKnown) {
         Scheduling::startDraw(
             state.m_scheduler.m_book, state.m_settings.m_scheduling.m_pick, {state.m_settings.m_host, granted.m_number}, server, selfOf(state), now);
@@ -238,7 +220,7 @@
             .with("workspace", exchange.m_workspace.text())
             .with("attempt", exchange.m_sent)
             .with("time_left_us", (exchange.m_deadline - now).count())
-            .with("configuration_version", static_cast<std::int64_t>(state.m_catalogue->m_version)));
+            .with("configuration_version", configurationVersion(state)));
     const ConnectionUse use = exchange.m_route.m_idempotent ? ConnectionUse::Any : ConnectionUse::Fresh;
     const std::string address = lead.isEmpty() ? known->second.m_server.m_address : granted.m_address;
     actions.emplace_back(StartAttempt{id, attempt, server, address, exchange.m_workspace, use, exchange.m_deadline - now});
@@ -250,7 +232,7 @@
     problem.m_outcome = mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
     problem.m_id = mayHaveRun ? ErrorId::RequestOutcomeUnknown : ErrorId::RequestUpstreamFailed;
     const bool timedOut = failure.m_failure == AttemptFailure::TimedOut;
-    problem.m_status = mayHaveRun ? (timedOut ? HttpGatewayTimeout : HttpBadGateway) : HttpServiceUnavailable;
+    problem.m_status = mayHaveRun ? (timedOut ? Http::Status::GatewayTimeout : Http::Status::BadGateway) : Http::Status::ServiceUnavailable;
     problem.m_detail = "the backend server failed: " + Dispatch::toString(failure.m_failure);
     return problem;
 }
@@ -343,7 +325,7 @@
     exchange.m_running.erase(answer.m_attempt);
     if (answer.m_facts.m_notRun) {
         actions.emplace_back(CancelAttempt{answer.m_attempt, true});
-        const Problem problem{HttpServiceUnavailable, ErrorId::RequestOverload, Outcome::NotRun, "the backend servers are overloaded", {}};
+        const Problem problem{Http::Status::ServiceUnavailable, ErrorId::RequestOverload, Outcome::NotRun, "the backend servers are overloaded", {}};
         return tryAnother(state, id, DrawPurpose::Again, problem, now, actions);
     }
     exchange.m_mayHaveRun = true;
@@ -393,7 +375,7 @@
     }
     logAttemptEnd(state, *attempt, end, now, actions);
     if (attempt->m_isForwarded && !ended.m_isAbandoned) {
-        recordAnswer(state, attempt->m_service, ended.m_whole ? HttpOk : HttpBadGateway, now - attempt->m_arrivedAt);
+        recordAnswer(state, attempt->m_service, ended.m_whole ? Http::Status::Ok : Http::Status::BadGateway, now - attempt->m_arrivedAt);
     }
     if (attempt->m_claim) {
         settleHeld(state, *attempt->m_claim, {ended.m_whole ? Dispatch::ClaimState::Done : Dispatch::ClaimState::Unknown, {}}, now, actions);
--- a/src/host/draws.cpp
+++ b/src/host/draws.cpp
@@ -58,7 +58,7 @@
             .with("waiting", queue == state.m_scheduler.m_queues.end() ? 0 : static_cast<std::int64_t>(queue->second.m_draws.size()))
             .with("tokens_per_mille", pool == state.m_scheduler.m_pools.end() ? -1 : static_cast<std::int64_t>(pool->second.m_tokens * PerMille))
             .with("limits_share_per_mille", static_cast<std::int64_t>(state.m_scheduler.m_share * PerMille))
-            .with("configuration_version", state.m_catalogue ? static_cast<std::int64_t>(state.m_catalogue->m_version) : 0)
+            .with("configuration_version", configurationVersion(state))
             .with("alike_since_last", told.m_left));
     told = {now, 0};
 }
@@ -197,7 +197,7 @@
     std::optional<DrawAnswer> answer;
     if (granted != state.m_scheduler.m_granted.end()) {
         answer = DrawAnswer{draw.m_number, granted->second.m_server, {}, {}, {}};
-    } else if (!Scheduling::isQueued(state.m_scheduler, id)) {
+    } else if (!Scheduling::isQueued(state.m_scheduler, draw.m_service, id)) {
         answer = Scheduling::draw(state.m_scheduler, draw, askerOf(state, from), state.m_random, now);
         logDraw(state, from, draw, answer, now, actions);
     }
@@ -222,11 +222,7 @@
     Scheduling::withdraw(state.m_scheduler, id);
     const auto granted = state.m_scheduler.m_granted.find(id);
     if (granted != state.m_scheduler.m_granted.end()) {
-        DrawDone done;
-        done.m_number = withdrawn.m_number;
-        done.m_server = granted->second.m_server;
-        done.m_end = Scheduling::AttemptEnd::Abandoned;
-        Scheduling::finish(state.m_scheduler, done, askerOf(state, from), now);
+        Scheduling::finish(state.m_scheduler, Scheduling::unusedDraw(withdrawn.m_number, granted->second.m_server), askerOf(state, from), now);
     }
 }
 
--- a/src/host/fleet.cpp
+++ b/src/host/fleet.cpp
@@ -52,11 +52,18 @@
     return draws;
 }
 
-void sendPulse(State &state, const Fleet::PulseOrder &order, TimePoint now)
+/// Makes a pulse with what every receiver is told.
+Pulse pulseFor(State &state, const Fleet::PulseOrder &order, TimePoint now)
 {
     Pulse pulse = Fleet::makePulse(state.m_leadership, order, now);
     pulse.m_domain = state.m_settings.m_domain;
     pulse.m_tables = standsOf(state, now);
+    return pulse;
+}
+
+void sendPulse(State &state, const Fleet::PulseOrder &order, TimePoint now)
+{
+    Pulse pulse = pulseFor(state, order, now);
     pulse.m_storeFails = std::ranges::any_of(state.m_tables, [](const KnownTable &table) { return table.m_isRead && table.m_follower.m_failures > 0; });
     if (Fleet::isLeading(state.m_leadership)) {
         pulse.m_heard = state.m_heard;
@@ -292,10 +299,7 @@
     }
     state.m_seedsAskedAt = now;
     for (const std::string &address : state.m_settings.m_seeds) {
-        Pulse pulse = Fleet::makePulse(state.m_leadership, {HostId(address), true}, now);
-        pulse.m_domain = state.m_settings.m_domain;
-        pulse.m_tables = standsOf(state, now);
-        actions.emplace_back(SendPeer{address, {state.m_settings.m_host, state.m_incarnation, {std::move(pulse)}}});
+        actions.emplace_back(SendPeer{address, {state.m_settings.m_host, state.m_incarnation, {pulseFor(state, {HostId(address), true}, now)}}});
     }
 }
 
@@ -308,7 +312,7 @@
 
 void tellConfirmation(State &state, bool hasJustFailed, TimePoint now)
 {
-    if (Fleet::isLeading(state.m_leadership) || !state.m_leadership.m_answeredAt) {
+    if (!hasLead(state)) {
         return;
     }
     const Duration worthTelling = state.m_settings.m_freshness.m_worthTelling;
--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -28,7 +28,7 @@
 }
 
 /// Takes over new settings, but for the name and the address of the host.
-void onSettingsChanged(State &state, const SettingsChanged &changed, TimePoint now, Actions &actions)
+void onSettingsChanged(State &state, const SettingsChanged &changed, Actions &actions)
 {
     HostSettings settings = changed.m_settings;
     settings.m_host = state.m_settings.m_host;
@@ -38,9 +38,6 @@
     state.m_settings = settings;
     state.m_leadership.m_settings = settings.m_leadership;
     state.m_scheduler.m_settings = settings.m_scheduling;
-    if (state.m_catalogue) {
-        Scheduling::setCatalogue(state.m_scheduler, *state.m_catalogue, now);
-    }
 }
 
 void onStopAsked(State &state, TimePoint now, Actions &actions)
@@ -155,7 +152,7 @@
             } else if constexpr (std::is_same_v<Type, Ticked>) {
                 state.m_levels.m_wallClock = typed.m_wallSeconds;
             } else if constexpr (std::is_same_v<Type, SettingsChanged>) {
-                detail::onSettingsChanged(state, typed, now, actions);
+                detail::onSettingsChanged(state, typed, actions);
             } else if constexpr (std::is_same_v<Type, StopAsked>) {
                 detail::onStopAsked(state, now, actions);
             }
--- a/src/host/levels.cpp
+++ b/src/host/levels.cpp
@@ -1,4 +1,5 @@
 #include <ragwortrelay/detail/host/duties.h>
+#include <ragwortrelay/http/status.h>
 
 #include <cstdio>
 
@@ -12,7 +13,6 @@
 constexpr Duration StoreInterval = std::chrono::minutes(1);
 constexpr std::int64_t HoursOnHost = 2; ///< Older hours are in the store only.
 constexpr std::int64_t HoursInReport = 73;
-constexpr std::uint16_t FirstServerError = 500;
 
 std::string hourText(std::int64_t hour)
 {
@@ -61,7 +61,7 @@
     const auto known = state.m_catalogue ? state.m_catalogue->m_services.find(service) : decltype(state.m_catalogue->m_services.find(service))();
     const bool isKnown = state.m_catalogue && known != state.m_catalogue->m_services.end();
     const bool isSlow = isKnown && latency > known->second.m_latencyObjective;
-    const Quality quality = status >= FirstServerError ? Quality::Failed : (isSlow ? Quality::Slow : Quality::Good);
+    const Quality quality = status >= Http::Status::InternalServerError ? Quality::Failed : (isSlow ? Quality::Slow : Quality::Good);
     Reporting::recordRequest(state.m_levels.m_levels, service, quality, latency, state.m_levels.m_wallClock);
 }
 
--- a/src/host/metrics.cpp
+++ b/src/host/metrics.cpp
@@ -40,7 +40,7 @@
     gauges["requests_in_flight"] = static_cast<double>(state.m_exchanges.size());
     gauges["draws_waiting"] = static_cast<double>(waitingDraws(state.m_scheduler));
     gauges["limits_share"] = state.m_scheduler.m_share;
-    gauges["configuration_version"] = state.m_catalogue ? static_cast<double>(state.m_catalogue->m_version) : 0.0;
+    gauges["configuration_version"] = static_cast<double>(detail::configurationVersion(state));
     const auto age = detail::configurationAge(state, now);
     if (age) {
         gauges["configuration_age_seconds"] = secondsOf(*age);
--- a/src/host/operators.cpp
+++ b/src/host/operators.cpp
@@ -150,7 +150,7 @@
         Operators::ServerShown shown;
         shown.m_server = id;
         shown.m_service = known.m_server.m_service;
-        shown.m_isLeaving = known.m_server.m_use == Configuration::ServerUse::Leaving || (known.m_leavingUntil && now < *known.m_leavingUntil);
+        shown.m_isLeaving = Scheduling::isLeaving(known, now);
         shown.m_sickness = Health::sicknessFor(settings, known.m_suspicion, state.m_settings.m_host, state.m_settings.m_domain, now);
         shown.m_running = static_cast<std::uint32_t>(known.m_running.size());
         servers.push_back(std::move(shown));
--- a/src/host/requests.cpp
+++ b/src/host/requests.cpp
@@ -1,5 +1,6 @@
 #include <ragwortrelay/core/hash.h>
 #include <ragwortrelay/detail/host/duties.h>
+#include <ragwortrelay/http/status.h>
 #include <ragwortrelay/workspaces/authentication.h>
 
 #include <algorithm>
@@ -13,18 +14,12 @@
 using Dispatch::Problem;
 using Reporting::LogLine;
 
-constexpr std::uint16_t HttpUnauthorized = 401;
-constexpr std::uint16_t HttpNotFound = 404;
-constexpr std::uint16_t HttpServiceUnavailable = 503;
-constexpr std::uint16_t HttpGatewayTimeout = 504;
-constexpr std::uint16_t HttpBadGateway = 502;
-
 /// When a caller may try a host again that doesn't know the configuration well enough.
 constexpr Duration StaleRetryAfter = std::chrono::milliseconds(200);
 
 Problem unfit(const std::string &detail)
 {
-    return {HttpServiceUnavailable, ErrorId::RequestHostIsolated, Outcome::NotRun, detail, StaleRetryAfter};
+    return {Http::Status::ServiceUnavailable, ErrorId::RequestHostIsolated, Outcome::NotRun, detail, StaleRetryAfter};
 }
 
 /// Chooses among the services of a route by their weights.
@@ -71,7 +66,7 @@
     if (key && !mayDeny(state, now)) {
         return unfit("the host's configuration is too old to tell that the key isn't valid");
     }
-    return Problem{HttpUnauthorized, ErrorId::RequestUnauthenticated, Outcome::NotRun, "no valid workspace key", {}};
+    return Problem{Http::Status::Unauthorized, ErrorId::RequestUnauthenticated, Outcome::NotRun, "no valid workspace key", {}};
 }
 
 /// Makes the exchange of a request, or tells why it is refused.
@@ -82,7 +77,7 @@
     }
     const Configuration::Route *route = Configuration::findRoute(*state.m_catalogue, request.m_facts.m_host, request.m_method, request.m_facts.m_path);
     if (route == nullptr) {
-        return tl::unexpected(mayDeny(state, now) ? Problem{HttpNotFound, ErrorId::RequestNoRoute, Outcome::NotRun, "no route for this request", {}}
+        return tl::unexpected(mayDeny(state, now) ? Problem{Http::Status::NotFound, ErrorId::RequestNoRoute, Outcome::NotRun, "no route for this request", {}}
                                                   : unfit("the host's configuration is too old to tell that there is no route"));
     }
     Exchange exchange;
@@ -110,7 +105,7 @@
         .with("error", toString(problem.m_id))
         .with("outcome", Dispatch::toString(problem.m_outcome))
         .with("detail", problem.m_detail)
-        .with("configuration_version", state.m_catalogue ? static_cast<std::int64_t>(state.m_catalogue->m_version) : 0)
+        .with("configuration_version", configurationVersion(state))
         .with("configuration_age_us", age ? age->count() : -1);
 }
 
@@ -172,17 +167,16 @@
 {
     const Exchange &exchange = state.m_exchanges.at(id);
     Problem exact = problem;
-    const bool contradicts = exchange.m_mayHaveRun && (exact.m_outcome == Outcome::NotRun || exact.m_status == HttpServiceUnavailable);
+    const bool contradicts = exchange.m_mayHaveRun && (exact.m_outcome == Outcome::NotRun || exact.m_status == Http::Status::ServiceUnavailable);
     if (contradicts) {
         exact.m_outcome = Outcome::Unknown;
-        exact.m_status = HttpBadGateway;
+        exact.m_status = Http::Status::BadGateway;
         exact.m_retryAfter.reset();
     }
     countRefusal(state, exact);
     log(actions, refusalLine(state, exchange, exact, now));
     if (!exchange.m_callerGone) {
-        constexpr std::uint16_t FirstServerError = 500;
-        if (exact.m_status >= FirstServerError) { // A refusal that is the caller's doing doesn't count against the service.
+        if (exact.m_status >= Http::Status::InternalServerError) { // A refusal that is the caller's doing doesn't count against the service.
             recordAnswer(state, exchange.m_service, exact.m_status, now - exchange.m_arrivedAt);
         }
         actions.emplace_back(AnswerProblem{id, exact});
@@ -243,9 +237,9 @@
     const bool mayHaveRun = exchange.m_mayHaveRun || !exchange.m_running.empty();
     exchange.m_mayHaveRun = mayHaveRun;
     if (mayHaveRun) {
-        return refuse(state, id, {HttpGatewayTimeout, ErrorId::RequestDeadlineExceeded, Outcome::Unknown, "the deadline is over", {}}, now, actions);
+        return refuse(state, id, {Http::Status::GatewayTimeout, ErrorId::RequestDeadlineExceeded, Outcome::Unknown, "the deadline is over", {}}, now, actions);
     }
-    refuse(state, id, {HttpServiceUnavailable, ErrorId::RequestDeadlineExceeded, Outcome::NotRun, "the deadline is over", Duration(0)}, now, actions);
+    refuse(state, id, {Http::Status::ServiceUnavailable, ErrorId::RequestDeadlineExceeded, Outcome::NotRun, "the deadline is over", Duration(0)}, now, actions);
 }
 
 }
--- a/src/host/tables.cpp
+++ b/src/host/tables.cpp
@@ -56,7 +56,7 @@
     if (state.m_source.m_hasOwnTable) {
         Configuration::updateTable(state.m_ownTable, rows);
     }
-    const std::uint64_t version = state.m_catalogue ? state.m_catalogue->m_version : 0;
+    const std::int64_t before = configurationVersion(state);
     const auto catalogue = catalogueToChange(state);
     const auto changed = state.m_source.m_updateCatalogue(*catalogue, rows);
     if (!changed) {
@@ -70,7 +70,7 @@
     log(actions,
         LogLine("configuration-in-force")
             .with("version", static_cast<std::int64_t>(catalogue->m_version))
-            .with("before", static_cast<std::int64_t>(version))
+            .with("before", before)
             .with("routes", static_cast<std::int64_t>(catalogue->m_routes.size()))
             .with("workspaces", static_cast<std::int64_t>(catalogue->m_workspaces.size())));
     state.m_catalogue = catalogue;
@@ -285,6 +285,11 @@
     return next;
 }
 
+std::int64_t configurationVersion(const State &state)
+{
+    return state.m_catalogue ? static_cast<std::int64_t>(state.m_catalogue->m_version) : 0;
+}
+
 std::optional<Duration> configurationAge(const State &state, TimePoint now)
 {
     return state.m_catalogue ? ageOf(tableOf(state, TableKind::Configuration).m_shared, now) : std::nullopt;
--- a/src/http/dialect.cpp
+++ b/src/http/dialect.cpp
@@ -1,5 +1,6 @@
 #include <ragwortrelay/detail/http/secret.h>
 #include <ragwortrelay/http/dialect.h>
+#include <ragwortrelay/http/status.h>
 
 #include <algorithm>
 #include <cctype>
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr std::uint16_t ServiceUnavailable = 503;
 constexpr std::chrono::milliseconds LongestTimeLeft = std::chrono::hours(1);
 
 /// Reads one metric of an ORCA load report in text form, or 0.
@@ -36,7 +36,7 @@
 
 bool readOutcome(std::uint16_t status, std::string_view value)
 {
-    return status == ServiceUnavailable && value == "not-run";
+    return status == Status::ServiceUnavailable && value == "not-run";
 }
 
 std::optional<Duration> readMilliseconds(std::string_view value)
--- a/src/http/requestcheck.cpp
+++ b/src/http/requestcheck.cpp
@@ -1,5 +1,6 @@
 #include <ragwortrelay/detail/http/requestcheck.h>
 #include <ragwortrelay/detail/http/target.h>
+#include <ragwortrelay/http/status.h>
 
 #include <algorithm>
 #include <charconv>
@@ -9,9 +10,6 @@
 
 namespace {
 
-constexpr std::uint16_t ContentTooLarge = 413;
-constexpr std::uint16_t ExpectationFailed = 417;
-
 ReadRefusal malformed(const std::string &detail)
 {
     return {400, ErrorId::RequestMalformed, detail};
@@ -42,8 +40,9 @@
         return malformed("the Content-Length is no number");
     }
     if (*bytes > limits.m_bodyBytes) {
-        return ReadRefusal{
-            ContentTooLarge, ErrorId::RequestTooLarge, "the body is larger than the " + std::to_string(limits.m_bodyBytes) + " bytes that this host takes"};
+        return ReadRefusal{Status::ContentTooLarge,
+                           ErrorId::RequestTooLarge,
+                           "the body is larger than the " + std::to_string(limits.m_bodyBytes) + " bytes that this host takes"};
     }
     return std::nullopt;
 }
@@ -57,7 +56,7 @@
     }
     const std::size_t expectations = countHeaders(head.m_headers, "Expect");
     if (expectations > 1 || (expectations == 1 && !sameName(*findHeader(head.m_headers, "Expect"), "100-continue"))) {
-        return ReadRefusal{ExpectationFailed, ErrorId::RequestMalformed, "the only expectation met is '100-continue'"};
+        return ReadRefusal{Status::ExpectationFailed, ErrorId::RequestMalformed, "the only expectation met is '100-continue'"};
     }
     return std::nullopt;
 }
--- a/src/http/requestreader.cpp
+++ b/src/http/requestreader.cpp
@@ -1,5 +1,6 @@
 #include <ragwortrelay/detail/http/requestcheck.h>
 #include <ragwortrelay/http/requestreader.h>
+#include <ragwortrelay/http/status.h>
 
 #include <ostream> // Boost.Beast 1.74 needs it and doesn't include it.
 #include <utility>
@@ -13,21 +14,19 @@
 
 namespace {
 
-constexpr std::uint16_t BadRequest = 400;
-constexpr std::uint16_t ContentTooLarge = 413;
-constexpr std::uint16_t HeaderFieldsTooLarge = 431;
-
 ReadRefusal refusalOf(const boost::beast::error_code &error, const RequestLimits &limits)
 {
     if (error == beast::error::header_limit) {
-        return {HeaderFieldsTooLarge,
+        return {Status::HeaderFieldsTooLarge,
                 ErrorId::RequestTooLarge,
                 "the header is larger than the " + std::to_string(limits.m_headerBytes) + " bytes that this host takes"};
     }
     if (error == beast::error::body_limit) {
-        return {ContentTooLarge, ErrorId::RequestTooLarge, "the body is larger than the " + std::to_string(limits.m_bodyBytes) + " bytes that this host takes"};
+        return {Status::ContentTooLarge,
+                ErrorId::RequestTooLarge,
+                "the body is larger than the " + std::to_string(limits.m_bodyBytes) + " bytes that this host takes"};
     }
-    return {BadRequest, ErrorId::RequestMalformed, "the request can't be read: " + error.message()};
+    return {Status::BadRequest, ErrorId::RequestMalformed, "the request can't be read: " + error.message()};
 }
 
 }
--- a/src/loop/callerconnection.cpp
+++ b/src/loop/callerconnection.cpp
@@ -2,6 +2,7 @@
 #include <ragwortrelay/core/hash.h>
 #include <ragwortrelay/detail/loop/callerconnection.h>
 #include <ragwortrelay/detail/loop/problem.h>
+#include <ragwortrelay/http/status.h>
 #include <ragwortrelay/http/writer.h>
 
 namespace RagwortRelay::Loop {
@@ -10,11 +11,6 @@
 
 using Http::ReadState;
 
-constexpr std::uint16_t NoContent = 204;
-constexpr std::uint16_t NotModified = 304;
-constexpr std::uint16_t RequestTimeout = 408;
-constexpr std::uint16_t ServiceUnavailable = 503;
-
 /// Time that a caller gets to read the last answer before the connection is closed.
 constexpr Duration LingerLimit = std::chrono::seconds(1);
 
@@ -88,7 +84,7 @@
         return refuseUnread(m_reader->refusal());
     }
     if (m_front.m_heldBytes > m_front.m_settings.m_heldBytesAtMost) {
-        return refuseUnread({ServiceUnavailable, ErrorId::RequestOverload, "the host holds too many bodies"});
+        return refuseUnread({Http::Status::ServiceUnavailable, ErrorId::RequestOverload, "the host holds too many bodies"});
     }
     if (m_reader->state() == ReadState::Complete) {
         return handOver();
@@ -166,7 +162,7 @@
     startTimer(m_front.m_settings.m_answerTimeout);
     m_answer = stream;
     const std::uint16_t status = stream->m_head.m_status;
-    m_hasBody = m_request.m_head.m_method != "HEAD" && status != NoContent && status != NotModified;
+    m_hasBody = m_request.m_head.m_method != "HEAD" && status != Http::Status::NoContent && status != Http::Status::NotModified;
     const bool isWhole = stream->m_state == BodyState::Whole;
     std::optional<std::size_t> size = stream->m_head.m_contentLength;
     if (isWhole && m_hasBody) {
@@ -186,7 +182,7 @@
     const bool isOld = m_request.m_head.m_minorVersion == 0;
     m_isChunked = m_hasBody && !wholeSize && !isOld;
     m_keeps = m_keeps && !m_front.m_sendsAway && (wholeSize || m_isChunked || !m_hasBody);
-    const bool tellsSize = wholeSize && head.m_status != NoContent;
+    const bool tellsSize = wholeSize && head.m_status != Http::Status::NoContent;
     if (tellsSize) {
         head.m_headers.push_back({"Content-Length", std::to_string(*wholeSize)});
     } else if (m_isChunked) {
@@ -344,7 +340,7 @@
         return;
     }
     if (m_phase == Phase::Reading) {
-        return refuseUnread({RequestTimeout, ErrorId::RequestMalformed, "the request did not come in time"});
+        return refuseUnread({Http::Status::RequestTimeout, ErrorId::RequestMalformed, "the request did not come in time"});
     }
     close();
 }
--- a/src/loop/log.cpp
+++ b/src/loop/log.cpp
@@ -2,7 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <array>
 #include <chrono>
 #include <cstdio>
 #include <pthread.h>
@@ -50,9 +49,8 @@
 
 std::string toJson(const TimedLine &line, const std::string &host)
 {
-    const nlohmann::ordered_json head{
+    nlohmann::ordered_json json{
         {"time_us", line.m_wallMicroseconds}, {"level", nameOf(line.m_line.m_severity)}, {"host", host}, {"event", line.m_line.m_event}};
-    nlohmann::ordered_json json = head;
     for (const auto &[name, value] : line.m_line.m_fields) {
         json[name] = value;
     }
@@ -131,10 +129,9 @@
     });
     if (m_lines.refused() != m_droppedTold) {
         const std::uint64_t now = m_lines.refused();
-        TimedLine line{wallMicroseconds(), Reporting::LogLine("log-lines-dropped", Reporting::Severity::Warning)};
-        line.m_line = std::move(line.m_line).with("count", static_cast<std::int64_t>(now - m_droppedTold));
+        const auto count = static_cast<std::int64_t>(now - m_droppedTold);
         m_droppedTold = now;
-        text += toJson(line, m_host) + '\n';
+        text += toJson({wallMicroseconds(), Reporting::LogLine("log-lines-dropped", Reporting::Severity::Warning).with("count", count)}, m_host) + '\n';
     }
     if (!text.empty()) {
         writeOut(text);
--- a/src/loop/operatorfront.cpp
+++ b/src/loop/operatorfront.cpp
@@ -1,3 +1,4 @@
+#include <ragwortrelay/http/status.h>
 #include <ragwortrelay/loop/operatorfront.h>
 
 #include <nlohmann/json.hpp>
@@ -7,9 +8,6 @@
 
 namespace {
 
-constexpr std::uint16_t BadRequest = 400;
-constexpr std::uint16_t Unauthorized = 401;
-
 CallerFrontSettings frontSettingsFrom(const OperatorFrontSettings &settings)
 {
     constexpr std::uint64_t LargestCommand = 4U << 20U; // bytes
@@ -72,11 +70,11 @@
 {
     const auto presented = Http::findHeader(request.m_head.m_headers, "Authorization");
     if (!presented || !equalSecrets(std::string(*presented), "Bearer " + m_token)) {
-        return reply(exchange, {Unauthorized, errorBody(ErrorId::OperatorUnauthorized)});
+        return reply(exchange, {Http::Status::Unauthorized, errorBody(ErrorId::OperatorUnauthorized)});
     }
     const auto command = Operators::decodeCommand(request.m_head.m_method, request.m_facts.m_path, *request.m_body);
     if (!command) {
-        return reply(exchange, {BadRequest, errorBody(command.error().m_id)});
+        return reply(exchange, {Http::Status::BadRequest, errorBody(command.error().m_id)});
     }
     m_handler({exchange, *command});
 }
--- a/src/loop/problem.cpp
+++ b/src/loop/problem.cpp
@@ -1,4 +1,5 @@
 #include <ragwortrelay/detail/loop/problem.h>
+#include <ragwortrelay/http/status.h>
 
 #include <nlohmann/json.hpp>
 
@@ -11,9 +12,6 @@
 
 namespace {
 
-constexpr std::uint16_t TooManyRequests = 429;
-constexpr std::uint16_t ServiceUnavailable = 503;
-
 std::string retryAfterOf(const Http::Dialect &dialect, Duration wait)
 {
     const double seconds = std::max(0.0, std::chrono::duration<double>(wait).count());
@@ -43,7 +41,7 @@
     if (!dialect.m_outcome.empty()) {
         headers.push_back({dialect.m_outcome, Dispatch::toString(problem.m_outcome)});
     }
-    if (problem.m_status == TooManyRequests || problem.m_status == ServiceUnavailable) {
+    if (problem.m_status == Http::Status::TooManyRequests || problem.m_status == Http::Status::ServiceUnavailable) {
         headers.push_back({"Retry-After", retryAfterOf(dialect, problem.m_retryAfter.value_or(std::chrono::seconds(1)))});
     }
     return headers;
--- a/src/loop/relay.cpp
+++ b/src/loop/relay.cpp
@@ -1,4 +1,5 @@
 #include <ragwortrelay/host/metrics.h>
+#include <ragwortrelay/http/status.h>
 #include <ragwortrelay/loop/clock.h>
 #include <ragwortrelay/loop/peersocket.h>
 #include <ragwortrelay/loop/relay.h>
@@ -13,8 +14,6 @@
 
 namespace {
 
-constexpr std::uint16_t ServiceUnavailable = 503;
-
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -301,10 +300,11 @@
     [[nodiscard]] std::optional<Page> pageAt(const std::string &path) const
     {
         if (path == m_settings.m_status.m_readinessPath) {
-            return m_isReady ? Page{200, "application/json", "{\"ready\":true}"} : Page{ServiceUnavailable, "application/json", "{\"ready\":false}"};
+            return m_isReady ? Page{Http::Status::Ok, "application/json", "{\"ready\":true}"}
+                             : Page{Http::Status::ServiceUnavailable, "application/json", "{\"ready\":false}"};
         }
         if (path == m_settings.m_status.m_metricsPath) {
-            return Page{200, "text/plain; version=0.0.4", metrics()};
+            return Page{Http::Status::Ok, "text/plain; version=0.0.4", metrics()};
         }
         return std::nullopt;
     }
--- a/src/loop/statusfront.cpp
+++ b/src/loop/statusfront.cpp
@@ -1,11 +1,10 @@
+#include <ragwortrelay/http/status.h>
 #include <ragwortrelay/loop/statusfront.h>
 
 namespace RagwortRelay::Loop {
 
 namespace {
 
-constexpr std::uint16_t NotFound = 404;
-
 CallerFrontSettings settingsFor(const std::string &listen)
 {
     CallerFrontSettings settings;
@@ -40,7 +39,7 @@
     const auto *request = std::get_if<Host::RequestArrived>(&event);
     if (request != nullptr) {
         const auto page = m_pages(request->m_facts.m_path);
-        m_front.answer(request->m_exchange, answerFrom(page.value_or(Page{NotFound, "text/plain; charset=utf-8", "nothing here\n"})));
+        m_front.answer(request->m_exchange, answerFrom(page.value_or(Page{Http::Status::NotFound, "text/plain; charset=utf-8", "nothing here\n"})));
     }
 }
 
--- a/src/operators/codec.cpp
+++ b/src/operators/codec.cpp
@@ -1,3 +1,4 @@
+#include <ragwortrelay/http/status.h>
 #include <ragwortrelay/operators/codec.h>
 
 #include <nlohmann/json.hpp>
@@ -10,11 +11,6 @@
 
 using Json = nlohmann::json;
 
-constexpr std::uint16_t HttpOk = 200;
-constexpr std::uint16_t HttpConflict = 409;
-constexpr std::uint16_t HttpUnprocessable = 422;
-constexpr std::uint16_t HttpServiceUnavailable = 503;
-
 Configuration::Row decodeRow(const Json &json)
 {
     const auto [kind, known] = Configuration::rowKindFrom(json.at("kind").get<std::string>());
@@ -67,12 +63,12 @@
     for (const auto &[key, row] : shown.m_table.m_rows) {
         rows.push_back(encodeRow(row));
     }
-    return {HttpOk, Json{{"version", shown.m_table.m_version}, {"rows", rows}}.dump()};
+    return {Http::Status::Ok, Json{{"version", shown.m_table.m_version}, {"rows", rows}}.dump()};
 }
 
 Answer encode(const EditDone &done)
 {
-    return {HttpOk, Json{{"version", done.m_version}}.dump()};
+    return {Http::Status::Ok, Json{{"version", done.m_version}}.dump()};
 }
 
 Answer encode(const EditConflict &conflict)
@@ -81,7 +77,7 @@
     for (const Configuration::Row &row : conflict.m_storedRows) {
         rows.push_back(encodeRow(row));
     }
-    return {HttpConflict, Json{{"id", toString(ErrorId::TableConflict)}, {"stored", rows}}.dump()};
+    return {Http::Status::Conflict, Json{{"id", toString(ErrorId::TableConflict)}, {"stored", rows}}.dump()};
 }
 
 Answer encode(const EditRefused &refused)
@@ -90,12 +86,12 @@
     for (const Finding &finding : refused.m_findings) {
         findings.push_back(Json{{"row", finding.m_place.m_file}, {"id", static_cast<std::uint16_t>(finding.m_id)}, {"message", finding.m_message}});
     }
-    return {HttpUnprocessable, Json{{"findings", findings}}.dump()};
+    return {Http::Status::Unprocessable, Json{{"findings", findings}}.dump()};
 }
 
 Answer encode(const EditUnresolved &unresolved)
 {
-    return {HttpServiceUnavailable,
+    return {Http::Status::ServiceUnavailable,
             Json{{"id", toString(ErrorId::PlatformUnreachable)}, {"reason", unresolved.m_reason}, {"mayBeWritten", unresolved.m_mayBeWritten}}.dump()};
 }
 
@@ -124,7 +120,7 @@
 
 Answer encode(const SpreadShown &spread)
 {
-    return {HttpOk, spreadJson(spread).dump()};
+    return {Http::Status::Ok, spreadJson(spread).dump()};
 }
 
 Answer encode(const StatusShown &status)
@@ -136,12 +132,12 @@
     }
     json["configuration"] = spreadJson(status.m_spread);
     json["servers"] = serversJson(status.m_servers);
-    return {HttpOk, json.dump()};
+    return {Http::Status::Ok, json.dump()};
 }
 
 Answer encode(const BurnShown &burn)
 {
-    return {HttpOk, Reporting::encodeReport(burn.m_report)};
+    return {Http::Status::Ok, Reporting::encodeReport(burn.m_report)};
 }
 
 }
@@ -151,16 +147,16 @@
     try {
         const Json json = Json::parse(answer.m_body);
         switch (answer.m_status) {
-        case HttpOk:
+        case Http::Status::Ok:
             return EditDone{json.at("version").get<std::uint64_t>()};
-        case HttpConflict: {
+        case Http::Status::Conflict: {
             EditConflict conflict;
             for (const Json &row : json.at("stored")) {
                 conflict.m_storedRows.push_back(decodeRow(row));
             }
             return conflict;
         }
-        case HttpUnprocessable: {
+        case Http::Status::Unprocessable: {
             EditRefused refused;
             for (const Json &finding : json.at("findings")) {
                 const auto id = static_cast<ErrorId>(finding.at("id").get<std::uint16_t>());
--- a/src/scheduling/draw.cpp
+++ b/src/scheduling/draw.cpp
@@ -19,6 +19,15 @@
     return {};
 }
 
+DrawDone unusedDraw(std::uint64_t number, const ServerId &server)
+{
+    DrawDone done;
+    done.m_number = number;
+    done.m_server = server;
+    done.m_end = AttemptEnd::Abandoned;
+    return done;
+}
+
 std::string toString(AttemptEnd end)
 {
     switch (end) {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-/// What a caller is told at least to wait after a refusal by overload.
+/// What a caller is told at least to wait after a refusal.
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(50);
 
-/// What a caller is told at most to wait for a token of its workspace.
+/// What a caller is told at most to wait for a token or a slot.
 constexpr Duration LongestRetryAfter = std::chrono::seconds(1);
 
 DrawAnswer refusal(const Draw &draw, RefusalReason reason, Duration retryAfter)
@@ -143,7 +143,7 @@
     const Duration wait = expectedWait(scheduler, queue, entry, now);
     const bool isTooLate = wait > draw.m_timeLeft - usualTimeOf(scheduler, draw.m_service) / 2;
     if (queue.m_draws.size() >= scheduler.m_settings.m_queueAtMost || isTooLate || draw.m_purpose == DrawPurpose::Hedge) {
-        return refusal(draw, RefusalReason::Overload, std::min<Duration>(wait, std::chrono::seconds(1)));
+        return refusal(draw, RefusalReason::Overload, std::min(wait, LongestRetryAfter));
     }
     queue.m_nextTurns[draw.m_workspace] = entry.m_turn + 1.0 / weightOf(scheduler, draw.m_workspace);
     queue.m_draws.insert(std::upper_bound(queue.m_draws.begin(), queue.m_draws.end(), entry, goesBefore), entry);
@@ -220,10 +220,6 @@
     }
 }
 
-}
-
-namespace {
-
 void setLimit(Scheduler &scheduler, const WorkspaceId &id, const Configuration::Workspace *workspace, TimePoint now)
 {
     if (workspace == nullptr || !workspace->m_isLimited) {
@@ -326,12 +322,12 @@
     }
 }
 
-bool isQueued(const Scheduler &scheduler, const DrawId &id)
+bool isQueued(const Scheduler &scheduler, const ServiceId &service, const DrawId &id)
 {
-    return std::ranges::any_of(scheduler.m_queues, [&](const auto &entry) {
-        return std::ranges::any_of(entry.second.m_draws,
-                                   [&](const QueuedDraw &queued) { return queued.m_asker.m_host == id.m_host && queued.m_draw.m_number == id.m_number; });
-    });
+    const auto queue = scheduler.m_queues.find(service);
+    return queue != scheduler.m_queues.end() && std::ranges::any_of(queue->second.m_draws, [&](const QueuedDraw &queued) {
+               return queued.m_asker.m_host == id.m_host && queued.m_draw.m_number == id.m_number;
+           });
 }
 
 void reconcile(Scheduler &scheduler, const HostId &host, const std::vector<std::uint64_t> &running, TimePoint startedBefore)
--- a/src/scheduling/serverbook.cpp
+++ b/src/scheduling/serverbook.cpp
@@ -19,8 +19,7 @@
 /// Tells whether a server may get new requests at all.
 bool isUsable(const ServerState &state, TimePoint now)
 {
-    const bool isLeaving = state.m_leavingUntil && now < *state.m_leavingUntil;
-    return state.m_server.m_use == ServerUse::Active && !isLeaving && state.m_server.m_weight > 0.0;
+    return !isLeaving(state, now) && state.m_server.m_weight > 0.0;
 }
 
 bool hasFreeSlot(const ServerState &state, TimePoint now)
@@ -242,6 +241,12 @@
 
 }
 
+bool isLeaving(const ServerState &state, TimePoint now)
+{
+    const bool saidSo = state.m_leavingUntil && now < *state.m_leavingUntil;
+    return saidSo || state.m_server.m_use == ServerUse::Leaving;
+}
+
 bool setServer(ServerBook &book, const Configuration::Server &server, TimePoint now)
 {
     const auto known = book.m_servers.find(server.m_id);
--- a/tests/fakes/owntable.h
+++ b/tests/fakes/owntable.h
@@ -44,6 +44,13 @@
     return rows.at(Configuration::toString(kind) + '/' + name).m_version;
 }
 
+/// Edit that sets the limit of workspace w1.
+inline Operators::EditTable limitEdit(const FakeWorld &world, const std::string &changeId, const std::string &rate, const std::string &burst)
+{
+    const auto kind = Configuration::RowKind::Workspace;
+    return {changeId, "operator", {rowEdit(kind, "w1", {{"rate", rate}, {"burst", burst}}, versionOf(world, kind, "w1"))}};
+}
+
 /// Starts hosts h1, h2 and so on, and gives them the first table.
 inline void startOwnFleet(FakeWorld &world, int hosts, int servers)
 {
--- a/tests/host/beliefs.cpp
+++ b/tests/host/beliefs.cpp
@@ -81,9 +81,7 @@
 {
     FakeWorld world(12);
     startOwnFleet(world, 3, 1);
-    const auto kind = Configuration::RowKind::Workspace;
-    const Configuration::Cells lowLimit{{"rate", "1"}, {"burst", "1"}};
-    world.command(HostId("h1"), Operators::EditTable{"limit", "operator", {rowEdit(kind, "w1", lowLimit, versionOf(world, kind, "w1"))}});
+    world.command(HostId("h1"), limitEdit(world, "limit", "1", "1"));
     world.run(seconds(6));
     const HostId asking = world.lead() == HostId("h1") ? HostId("h2") : HostId("h1");
     for (int i = 0; i < 6; ++i) {
--- a/tests/host/owntable.cpp
+++ b/tests/host/owntable.cpp
@@ -19,7 +19,7 @@
 
 EditTable setRate(const FakeWorld &world, const std::string &changeId, const std::string &rate)
 {
-    return {changeId, "operator", {rowEdit(RowKind::Workspace, "w1", {{"rate", rate}, {"burst", "1000"}}, versionOf(world, RowKind::Workspace, "w1"))}};
+    return limitEdit(world, changeId, rate, "1000");
 }
 
 EditTable withdrawal(const FakeWorld &world)
--- a/tests/host/requests.cpp
+++ b/tests/host/requests.cpp
@@ -139,9 +139,7 @@
 {
     FakeWorld world(21);
     startOwnFleet(world, 3, 2);
-    const auto kind = Configuration::RowKind::Workspace;
-    const Configuration::Cells lowLimit{{"rate", "2"}, {"burst", "2"}};
-    world.command(HostId("h1"), Operators::EditTable{"limit", "operator", {rowEdit(kind, "w1", lowLimit, versionOf(world, kind, "w1"))}});
+    world.command(HostId("h1"), limitEdit(world, "limit", "2", "2"));
     world.run(seconds(5));
     const HostId asking = world.lead() == HostId("h1") ? HostId("h2") : HostId("h1");
     const auto before = world.m_datagrams[{asking, world.lead()}];
