Give unused sound servers a request also where nothing fails

Servers without requests are looked after only while the host counts failures of the service, and there were none: what the service missed were requests over their limit and those that a power cut ended later. Ruled out: suspicion (no belief changed), the floor of avoided servers (none was avoided), a lead in doubt (120 of 123 draws went to it). Test: fails first with 7 of 12 servers used.

--- a/include/ragwortrelay/scheduling/serverbook.h
+++ b/include/ragwortrelay/scheduling/serverbook.h
@@ -31,7 +31,9 @@
     double m_floor = 0.7; ///< Share of the usable servers that is never avoided.
     Duration m_trialInterval{std::chrono::milliseconds(700)}; ///< Between two trial requests at an avoided server.
     double m_failingAbove = 0.085; ///< Share of failures from which a service counts as failing.
-    double m_untouchedAtMost = 0.15; ///< Share of the usable servers of a failing service that may get nothing for m_untouchedAfter.
+    double m_busyPerServer = 2.0; ///< Late attempts for each server from which a service has enough to do for all; see m_failureFading.
+    double m_untouchedAtMost = 0.15; ///< Share of the servers of a failing or busy service that may get nothing for m_untouchedAfter.
+    double m_untouchedAtMostOnce = 0.25; ///< The same before a request that may run only once is used for it in a busy service.
     Duration m_untouchedAfter{std::chrono::milliseconds(1600)};
     Duration m_failureFading{std::chrono::milliseconds(2000)}; ///< Outcomes lose all but 1/e of their weight in the share of failures in this time.
     Duration m_shedHold{std::chrono::milliseconds(60)}; ///< A server that shed counts as full for so long.
--- a/src/scheduling/serverbook.cpp
+++ b/src/scheduling/serverbook.cpp
@@ -215,17 +215,29 @@
     return nullptr;
 }
 
-/// Returns the least suspect of the servers that got nothing for a while, when they are too many for a service that fails. Avoiding
-/// servers must not go so far that sound ones are left out.
+/// Tells whether a service has so much to do that each of its servers can get some of it.
+bool isBusy(const ServiceState &service, const PickSettings &settings, std::size_t servers)
+{
+    return service.m_outcomes >= settings.m_busyPerServer * static_cast<double>(servers);
+}
+
+/// Returns the least suspect of the servers that got nothing for a while, when they are too many for a service that fails, or for one that
+/// has enough to do for all. Neither avoiding servers nor preferring some must go so far that sound ones are left out.
 const Candidate *tooLongUnused(const PickSettings &settings, const std::vector<Candidate> &all, const ServiceState &service, const Draw &draw, TimePoint now)
 {
-    if (!isFailing(service, settings)) {
+    const bool failing = isFailing(service, settings);
+    if (!failing && !isBusy(service, settings, all.size())) {
         return nullptr;
     }
+    std::size_t counted = 0;
     std::size_t untouched = 0;
     const Candidate *best = nullptr;
     for (const Candidate &candidate : all) {
         const ServerState &state = *candidate.m_state;
+        if (!failing && candidate.m_sickness > settings.m_avoidAbove) {
+            continue; // While the service does well, those that look sick get trials only.
+        }
+        ++counted;
         if (!state.m_running.empty() || now - state.m_usedAt < settings.m_untouchedAfter) {
             continue;
         }
@@ -235,7 +247,8 @@
             best = &candidate;
         }
     }
-    const double most = settings.m_untouchedAtMost * static_cast<double>(all.size());
+    const bool isBold = failing || draw.m_idempotent;
+    const double most = (isBold ? settings.m_untouchedAtMost : settings.m_untouchedAtMostOnce) * static_cast<double>(counted);
     return static_cast<double>(untouched) > most ? best : nullptr;
 }
 
--- a/tests/scheduling/serverbook.cpp
+++ b/tests/scheduling/serverbook.cpp
@@ -150,3 +150,54 @@
     }
     CHECK(static_cast<double>(fewest) >= 0.7 * Servers);
 }
+
+TEST_CASE("regression: sound servers that had been slow were left without requests")
+{
+    // Nothing failed, so that nobody looked after them; refused requests and a power cut then made the service miss a tenth of its requests.
+    ServerBook book;
+    const PickSettings settings;
+    RandomGenerator random(1);
+    TimePoint now{std::chrono::seconds(100)};
+    constexpr int Servers = 12;
+    setServers(book, Servers, now);
+    const std::set<std::string> slow{"s1", "s2", "s3", "s4", "s5"};
+    std::map<ServerId, TimePoint> lastUsed;
+    std::size_t fewest = Servers;
+    for (std::uint64_t i = 1; i <= 1500; ++i) {
+        now += milliseconds(20);
+        const auto server = pickServer(book, settings, drawOf(i, true), Self, random, now);
+        REQUIRE(server);
+        startDraw(book, settings, {Self.m_host, i}, *server, Self, now);
+        const bool isSlow = i < 400 && slow.contains(server->text());
+        DrawDone done = doneOf(i, *server, AttemptEnd::Succeeded);
+        done.m_elapsed = milliseconds(isSlow ? 900 : 100);
+        endDraw(book, settings, done, Self, now);
+        lastUsed[*server] = now;
+        if (i > 400) {
+            const auto used = std::ranges::count_if(lastUsed, [&](const auto &entry) { return now - entry.second < std::chrono::seconds(2); });
+            fewest = std::min(fewest, static_cast<std::size_t>(used));
+        }
+    }
+    CHECK(static_cast<double>(fewest) >= 0.7 * Servers);
+}
+
+TEST_CASE("a service with little to do stays with the servers that cost least")
+{
+    ServerBook book;
+    const PickSettings settings;
+    RandomGenerator random(1);
+    TimePoint now{std::chrono::seconds(100)};
+    constexpr int Servers = 12;
+    for (auto &[id, server] : serversOf(Servers)) {
+        server.m_domain = FailureDomainId(id < ServerId("s3") ? "d1" : "d2");
+        setServer(book, server, now);
+    }
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+        now += milliseconds(200);
+        const auto server = pickServer(book, settings, drawOf(i, true), Self, random, now);
+        REQUIRE(server);
+        CHECK(book.m_servers.at(*server).m_server.m_domain == Self.m_domain);
+        startDraw(book, settings, {Self.m_host, i}, *server, Self, now);
+        endDraw(book, settings, doneOf(i, *server, AttemptEnd::Succeeded), Self, now);
+    }
+}
