Let the slowness of a server fade

Cause: the moving average of a server's times changes with its answers only. A server that had been slow was dear until it had answered quickly a dozen times, and got hardly any requests in which to do so. Now what was seen of it loses all but 1/e in 4 s, like other evidence. Ruled out as a substitute: the requests for unused servers alone, one in 1.6 s, take 16 s to show the same.

--- a/include/ragwortrelay/scheduling/serverbook.h
+++ b/include/ragwortrelay/scheduling/serverbook.h
@@ -27,6 +27,7 @@
     double m_otherDomainCost = 0.02; ///< Of leaving the failure domain.
     double m_warmupCost = 0.05; ///< Of a server that is slow after its start.
     double m_slownessCost = 0.15; ///< For each time that a server is slower than its service.
+    Duration m_slownessFading{std::chrono::seconds(4)}; ///< Slowness that isn't seen again loses all but 1/e in this time.
     double m_avoidAbove = 0.3; ///< Probability of sickness from which a server gets no more than single trials.
     double m_floor = 0.7; ///< Share of the usable servers that is never avoided.
     Duration m_trialInterval{std::chrono::milliseconds(700)}; ///< Between two trial requests at an avoided server.
@@ -57,7 +58,8 @@
     Configuration::Server m_server;
     std::vector<RunningDraw> m_running;
     Health::ServerSuspicion m_suspicion;
-    double m_slowness = 1.0; ///< Time of its answers against the usual time of the service, as a moving average.
+    double m_slowness = 1.0; ///< Time of its answers against the usual time of the service, as a moving average at m_slownessAt.
+    TimePoint m_slownessAt{};
     std::optional<TimePoint> m_fullUntil; ///< Set when it shed a request.
     std::optional<TimePoint> m_leavingUntil; ///< Set when it said that it is leaving.
     TimePoint m_warmAt; ///< End of its slow start.
--- a/src/scheduling/serverbook.cpp
+++ b/src/scheduling/serverbook.cpp
@@ -79,6 +79,13 @@
     Health::addEvidence(suspicion, state.m_suspicion.m_byDomain[asker.m_domain], evidence, now);
 }
 
+/// Returns how slow a server is: what was seen of it, the less the longer ago.
+double slownessOf(const ServerState &state, const PickSettings &settings, TimePoint now)
+{
+    const double age = static_cast<double>((now - state.m_slownessAt).count());
+    return 1.0 + (state.m_slowness - 1.0) * std::exp(-age / static_cast<double>(settings.m_slownessFading.count()));
+}
+
 void noteSuccess(ServerBook &book, ServerState &state, const PickSettings &settings, const DrawDone &done, const Asker &asker, TimePoint now)
 {
     constexpr double ServiceSmoothing = 0.02;
@@ -95,7 +102,9 @@
     const double usual = static_cast<double>(service.m_usualTime.count());
     service.m_usualTime = Duration(static_cast<std::int64_t>(usual + ServiceSmoothing * (elapsed - usual)));
     const double ratio = std::min(MostSlowness, elapsed / std::max(1.0, usual));
-    state.m_slowness += ServerSmoothing * (ratio - state.m_slowness);
+    const double known = slownessOf(state, settings, now);
+    state.m_slowness = known + ServerSmoothing * (ratio - known);
+    state.m_slownessAt = now;
 }
 
 /// Notes since when a server has looked sick to the asking host.
@@ -144,7 +153,7 @@
     cost += occupied * settings.m_occupiedCost / state.m_server.m_weight;
     cost += state.m_server.m_domain == asker.m_domain ? 0.0 : settings.m_otherDomainCost;
     cost += now < state.m_warmAt ? settings.m_warmupCost : 0.0;
-    cost += std::max(0.0, state.m_slowness - 1.0) * settings.m_slownessCost;
+    cost += std::max(0.0, slownessOf(state, settings, now) - 1.0) * settings.m_slownessCost;
     return cost;
 }
 
--- a/tests/scheduling/serverbook.cpp
+++ b/tests/scheduling/serverbook.cpp
@@ -104,6 +104,29 @@
         CHECK(sicknessFor(Self) > sicknessFor(other));
         CHECK(sicknessFor(other) < settings.m_avoidAbove);
     }
+    SECTION("one that was slow is trusted again some time later")
+    {
+        PickSettings picking = settings;
+        picking.m_untouchedAtMost = 1.0; // Nobody is picked for having been left out.
+        picking.m_untouchedAtMostOnce = 1.0;
+        for (std::uint64_t i = 1; i <= 20; ++i) {
+            DrawDone slow = doneOf(2 * i, ServerId("s2"), AttemptEnd::Succeeded);
+            slow.m_elapsed = milliseconds(900);
+            endDraw(book, picking, slow, Self, now);
+            endDraw(book, picking, doneOf(2 * i + 1, ServerId("s1"), AttemptEnd::Succeeded), Self, now);
+        }
+        const auto isPicked = [&] {
+            for (std::uint64_t i = 100; i < 200; ++i) {
+                if (*pickServer(book, picking, drawOf(i, true), Self, random, now) == ServerId("s2")) {
+                    return true;
+                }
+            }
+            return false;
+        };
+        CHECK_FALSE(isPicked());
+        now += std::chrono::seconds(30);
+        CHECK(isPicked());
+    }
     SECTION("a leaving one gets nothing")
     {
         Configuration::Server server = serversOf(4).at(ServerId("s1"));
