Leave a part of the retry reserve for hosts that start

Ruled out: hosts that decide alone (3 to 8 attempts), and attempts in place of ones that reached no server, which the budget doesn't count (none here). A host that starts now has a quarter of the reserve, a lead never more than the other three quarters, and a share that grows is empty as far as it is new; so two leads, of which the second starts when the first is lost, keep within the bound together.

--- a/src/scheduling/retrybudget.cpp
+++ b/src/scheduling/retrybudget.cpp
@@ -4,6 +4,26 @@
 
 namespace RagwortRelay::Scheduling {
 
+namespace {
+
+/// Returns the further attempts that a host with the whole reserve may hand out at once.
+double mostAtOnce(const RetryLimit &limit)
+{
+    return limit.m_reserve * (1.0 - limit.m_forStarts);
+}
+
+}
+
+RetryBudget firstBudget(const RetryLimit &limit, double share)
+{
+    return {std::max(0.0, mostAtOnce(limit) - limit.m_reserve * limit.m_forStarts) * share};
+}
+
+RetryBudget withShare(const RetryBudget &budget, const RetryLimit &limit, double before, double after)
+{
+    return {std::max(0.0, budget.m_spent + mostAtOnce(limit) * (after - before))};
+}
+
 RetryBudget afterRequest(const RetryBudget &budget, const RetryLimit &limit)
 {
     return {std::max(0.0, budget.m_spent - limit.m_ratio)};
@@ -11,7 +31,7 @@
 
 bool allowsRetry(const RetryBudget &budget, const RetryLimit &limit, double share)
 {
-    return budget.m_spent + 1.0 <= limit.m_reserve * share;
+    return budget.m_spent + 1.0 <= mostAtOnce(limit) * share;
 }
 
 RetryBudget afterRetry(const RetryBudget &budget)
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -48,8 +48,8 @@
 /// @return the refusal, or nothing when it was taken
 std::optional<DrawAnswer> takeBudget(Scheduler &scheduler, const Draw &draw)
 {
-    RetryBudget &budget = scheduler.m_budgets[draw.m_service];
     const RetryLimit &limit = scheduler.m_settings.m_retries;
+    RetryBudget &budget = scheduler.m_budgets.try_emplace(draw.m_service, firstBudget(limit, scheduler.m_share)).first->second;
     switch (draw.m_purpose) {
     case DrawPurpose::First:
         budget = afterRequest(budget, limit);
@@ -283,6 +283,9 @@
     if (share == scheduler.m_share) {
         return;
     }
+    for (auto &[service, budget] : scheduler.m_budgets) {
+        budget = withShare(budget, scheduler.m_settings.m_retries, scheduler.m_share, share);
+    }
     scheduler.m_share = share;
     for (auto &[id, pool] : scheduler.m_pools) {
         Limits::setShare(pool, share, now);
