End attempts that were left running, and count servers as used by what they got

A request that may run only once was left running after its deadline at a server that didn't answer, for as long as the connection was open (10 s seen). It held a slot on the lead, and its server counted as one that gets requests, so nobody looked after it when it was well again.

Now such an attempt ends 0.3 s after its deadline, as timed out, and a server counts as used by when it got its last request, not by what it holds.

Ruled out: requests that servers shed (they free their slots at once).

--- a/include/ragwortrelay/detail/host/duties.h
+++ b/include/ragwortrelay/detail/host/duties.h
@@ -32,6 +32,14 @@
 void onAttemptEnded(State &state, const AttemptEnded &ended, TimePoint now, Actions &actions);
 void onServerCloses(State &state, const ServerCloses &closes, TimePoint now);
 
+/// Lets an attempt run on though nobody waits for its answer: it may run only once, and its end tells about the server. A server that doesn't
+/// answer mustn't hold its slot for ever, so there is a limit.
+/// @param deadline of the request
+void leaveRunning(State &state, AttemptId id, TimePoint deadline, TimePoint now, Actions &actions);
+
+/// Gives up an attempt that was left running, if it still runs.
+void onLeftRunning(State &state, AttemptId id, TimePoint now, Actions &actions);
+
 /// Tells the scheduler that an attempt has ended and forgets it; returns it, or nothing when it is unknown.
 std::optional<Attempt> finishAttempt(State &state, AttemptId id, Scheduling::AttemptEnd end, const std::optional<Http::LoadReport> &load, TimePoint now);
 
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -98,11 +98,12 @@
     Deadline, ///< Of an exchange.
     Hedge, ///< Of an exchange.
     Draw, ///< The lead has not answered a draw.
+    LeftRunning, ///< An attempt nobody waits for is given up.
 };
 
 struct Due {
     DueKind m_kind{};
-    std::uint64_t m_subject = 0; ///< Number of the exchange or draw.
+    std::uint64_t m_subject = 0; ///< Number of the exchange, draw or attempt.
 };
 
 /// A draw that waits for its answer.
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -390,6 +390,22 @@
     }
 }
 
+void leaveRunning(State &state, AttemptId id, TimePoint deadline, TimePoint now, Actions &actions)
+{
+    state.m_attempts.at(id).m_exchange = 0;
+    state.m_due.emplace(std::max(now, deadline) + state.m_settings.m_leftRunningFor, Due{DueKind::LeftRunning, id});
+    actions.emplace_back(CancelAttempt{id, true});
+}
+
+void onLeftRunning(State &state, AttemptId id, TimePoint now, Actions &actions)
+{
+    const auto attempt = finishAttempt(state, id, AttemptEnd::TimedOut, {}, now);
+    if (attempt) {
+        logAttemptEnd(state, *attempt, AttemptEnd::TimedOut, now, actions);
+        actions.emplace_back(CancelAttempt{id, false});
+    }
+}
+
 void onHedgeDue(State &state, ExchangeId id, TimePoint now, Actions &actions)
 {
     const auto found = state.m_exchanges.find(id);
--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -82,6 +82,9 @@
         case DueKind::Draw:
             onDrawDue(state, due.m_subject, now, actions);
             break;
+        case DueKind::LeftRunning:
+            onLeftRunning(state, due.m_subject, now, actions);
+            break;
         }
     }
 }
--- a/src/host/requests.cpp
+++ b/src/host/requests.cpp
@@ -199,8 +199,7 @@
             finishAttempt(state, attempt, Scheduling::AttemptEnd::Abandoned, {}, now);
             actions.emplace_back(CancelAttempt{attempt, false});
         } else {
-            state.m_attempts.at(attempt).m_exchange = 0; // Its end still tells about the server.
-            actions.emplace_back(CancelAttempt{attempt, true});
+            leaveRunning(state, attempt, exchange.m_deadline, now, actions);
         }
     }
     if (exchange.m_failedAnswer) {
--- a/src/scheduling/serverbook.cpp
+++ b/src/scheduling/serverbook.cpp
@@ -245,7 +245,7 @@
             continue; // While the service does well, those that look sick get trials only.
         }
         ++counted;
-        if (!state.m_running.empty() || now - state.m_usedAt < settings.m_untouchedAfter) {
+        if (now - state.m_usedAt < settings.m_untouchedAfter) {
             continue;
         }
         ++untouched;
--- a/standins/rows.cpp
+++ b/standins/rows.cpp
@@ -6,8 +6,8 @@
 
 std::uint64_t Rows::versionOf(const RowName &name) const
 {
-    const auto row = find(name);
-    return row ? row->m_version : 0;
+    const auto row = m_rows.find(name);
+    return row == m_rows.end() || row->second.m_isErased ? 0 : row->second.m_version;
 }
 
 bool Rows::holds(const std::vector<Condition> &conditions) const
@@ -19,24 +19,34 @@
 {
     ++m_version;
     for (const auto &[name, value] : writes) {
-        m_rows[name] = {name, value, m_version, false};
+        set(name, value, false);
     }
     for (const RowName &name : erased) {
-        m_rows[name] = {name, {}, m_version, true};
+        set(name, {}, true);
     }
     return m_version;
 }
 
+void Rows::set(const RowName &name, const std::string &value, bool isErased)
+{
+    auto &byVersion = m_byVersion[std::get<0>(name)];
+    StoredRow &row = m_rows[name];
+    byVersion.erase({row.m_version, name});
+    byVersion.emplace(m_version, name);
+    row = {name, value, m_version, isErased};
+}
+
 std::optional<StoredRow> Rows::find(const RowName &name) const
 {
     const auto row = m_rows.find(name);
     return row == m_rows.end() || row->second.m_isErased ? std::nullopt : std::optional(row->second);
 }
 
-std::vector<StoredRow> Rows::range(const std::string &table, const std::string &part, const std::string &from, const std::string &below) const
+std::vector<StoredRow>
+Rows::range(const std::string &table, const std::string &part, const std::string &from, const std::string &below, std::size_t most) const
 {
     std::vector<StoredRow> rows;
-    for (auto row = m_rows.lower_bound({table, part, from}); row != m_rows.end(); ++row) {
+    for (auto row = m_rows.lower_bound({table, part, from}); row != m_rows.end() && rows.size() < most; ++row) {
         const auto &[rowTable, rowPart, key] = row->first;
         if (rowTable != table || rowPart != part || (!below.empty() && key >= below)) {
             break;
@@ -54,12 +64,12 @@
         return std::nullopt;
     }
     std::vector<StoredRow> rows;
-    for (const auto &[name, row] : m_rows) {
-        if (std::get<0>(name) == table && row.m_version > after) {
-            rows.push_back(row);
+    const auto byVersion = m_byVersion.find(table);
+    if (byVersion != m_byVersion.end()) {
+        for (auto changed = byVersion->second.lower_bound({after + 1, {}}); changed != byVersion->second.end(); ++changed) {
+            rows.push_back(m_rows.at(changed->second));
         }
     }
-    std::ranges::sort(rows, {}, &StoredRow::m_version);
     return rows;
 }
 
--- a/standins/rows.h
+++ b/standins/rows.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace StandIn {
@@ -44,9 +46,12 @@
     [[nodiscard]] std::optional<StoredRow> find(const RowName &name) const;
 
     /// Returns the rows of a part from one key to below another (empty for no bound).
-    [[nodiscard]] std::vector<StoredRow> range(const std::string &table, const std::string &part, const std::string &from, const std::string &below) const;
+    /// @param most rows that are returned
+    [[nodiscard]] std::vector<StoredRow>
+    range(const std::string &table, const std::string &part, const std::string &from, const std::string &below, std::size_t most) const;
 
-    /// Returns the rows of a table that changed after a version, in the order of their changes; nothing when they are forgotten.
+    /// Returns the rows of a table that changed after a version, in the order of their changes; nothing when they are forgotten. Linear in
+    /// these rows.
     [[nodiscard]] std::optional<std::vector<StoredRow>> changes(const std::string &table, std::uint64_t after) const;
 
     [[nodiscard]] std::set<std::string> partsOf(const std::string &table) const;
@@ -57,7 +62,10 @@
     [[nodiscard]] std::uint64_t version() const;
 
 private:
+    void set(const RowName &name, const std::string &value, bool isErased);
+
     std::map<RowName, StoredRow> m_rows;
+    std::map<std::string, std::set<std::pair<std::uint64_t, RowName>>> m_byVersion; ///< Names of the rows of each table by their versions.
     std::uint64_t m_version = 0;
     std::uint64_t m_forgotten = 0;
 };
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -241,8 +241,9 @@
 
     Answer range(const Request &request)
     {
-        std::vector<StoredRow> rows = m_rows.range(request.argument("table"), request.argument("part"), request.argument("from"), request.argument("to"));
         const std::size_t limit = std::min<std::size_t>(MostRows, request.number("limit", MostRows));
+        std::vector<StoredRow> rows =
+            m_rows.range(request.argument("table"), request.argument("part"), request.argument("from"), request.argument("to"), limit + 1);
         const bool hasMore = rows.size() > limit;
         rows.resize(std::min(rows.size(), limit));
         return json(200, {{"rows", rowsJson(rows)}, {"hasMore", hasMore}});
--- a/tests/host/requests.cpp
+++ b/tests/host/requests.cpp
@@ -135,6 +135,39 @@
     CHECK(world.state(other).m_draws.empty());
 }
 
+TEST_CASE("regression: requests without an answer held the slots of their server for ever")
+{
+    // A server that answered again got nothing for as long as the connections of earlier requests were open.
+    FakeWorld world(21);
+    settle(world, 3, 1);
+    const HostId lead = world.lead();
+    const HostId asking = GENERATE(0, 1) == 0 ? lead : world.follower();
+    world.m_server = [](const ServedAttempt &) { return std::pair(Duration(0), std::optional<Host::Event>()); };
+    world.request(asking, "/book/1");
+    world.request(asking, "/book/2");
+    world.run(milliseconds(1100));
+    CHECK(world.state(asking).m_attempts.size() == 2); // They may still be answered, which would tell that the server is well.
+    world.run(milliseconds(400));
+    CHECK(world.state(asking).m_attempts.empty());
+    CHECK(world.state(lead).m_scheduler.m_book.m_servers.at(ServerId("s1")).m_running.empty());
+    CHECK(world.state(lead).m_scheduler.m_granted.empty());
+}
+
+TEST_CASE("a request that may run only once ends well after its caller has gone")
+{
+    FakeWorld world(21);
+    settle(world, 1, 1);
+    world.m_server = [](const ServedAttempt &attempt) { return std::pair(Duration(milliseconds(900)), FakeWorld::answered(attempt.m_start.m_attempt, 200)); };
+    const auto id = world.request(One, "/book/1");
+    world.run(milliseconds(100));
+    world.deliver(One, Host::CallerGone{id});
+    world.run(milliseconds(700));
+    CHECK(world.state(One).m_attempts.size() == 1);
+    world.run(milliseconds(200));
+    CHECK(world.state(One).m_attempts.empty());
+    CHECK(world.state(One).m_counters.at("attempts{end=\"succeeded\"}") == 1);
+}
+
 TEST_CASE("regression: each request of a workspace over its limit asked the lead, which got too much to do")
 {
     FakeWorld world(21);
--- a/tests/scheduling/serverbook.cpp
+++ b/tests/scheduling/serverbook.cpp
@@ -207,6 +207,39 @@
     CHECK(static_cast<double>(fewest) >= 0.7 * Servers);
 }
 
+TEST_CASE("regression: servers that hold a request without an answer counted as used")
+{
+    // They got nothing else for as long as it was held, which was longer than sound servers may be left out.
+    constexpr int Servers = 12;
+    constexpr int Holding = 4;
+    ServerBook book;
+    const PickSettings settings;
+    RandomGenerator random(1);
+    TimePoint now{std::chrono::seconds(100)};
+    setServers(book, Servers, now);
+    for (int i = 1; i <= Holding; ++i) {
+        startDraw(book, settings, {HostId("h2"), static_cast<std::uint64_t>(i)}, ServerId("s" + std::to_string(i)), Self, now);
+    }
+    std::map<ServerId, TimePoint> lastUsed;
+    for (std::uint64_t i = 1; i <= 400; ++i) {
+        now += milliseconds(20);
+        for (int held = 1; held <= Holding; ++held) { // Slow ones are dear, so that the others get all.
+            ServerState &state = book.m_servers.at(ServerId("s" + std::to_string(held)));
+            state.m_slowness = 5.0;
+            state.m_slownessAt = now;
+        }
+        const auto server = pickServer(book, settings, drawOf(i, false), Self, random, now);
+        REQUIRE(server);
+        startDraw(book, settings, {Self.m_host, i}, *server, Self, now);
+        endDraw(book, settings, doneOf(i, *server, i % 6 == 0 ? AttemptEnd::Broken : AttemptEnd::Succeeded), Self, now);
+        lastUsed[*server] = now;
+        if (i > 200) {
+            const auto used = std::ranges::count_if(lastUsed, [&](const auto &entry) { return now - entry.second < std::chrono::seconds(2); });
+            CHECK(static_cast<double>(used) >= 0.7 * Servers);
+        }
+    }
+}
+
 TEST_CASE("a service with little to do stays with the servers that cost least")
 {
     ServerBook book;
