Ask a store that gives no answers for one table at a time

Cause: while the store is down each host whose tables grow old asks it for all three tables, each with pauses of its own.

Now the table whose call is due first shows whether the store answers again; the others wait for it, and one success makes them due at once. The call that shows it doesn't wait for a change.

Ruled out: leaving it all to the lead and its readers. A host that is served while the lead's readers are refused would be found too late: they change every 0.25 s, three at a time.

--- a/src/host/tables.cpp
+++ b/src/host/tables.cpp
@@ -167,6 +167,46 @@
     }
 }
 
+/// Returns, of the tables that the store gave no answer about, the one that shows when it does again.
+std::optional<TableKind> probeOf(const State &state)
+{
+    std::optional<TableKind> probe;
+    for (const TableKind kind : AllTables) {
+        const KnownTable &table = tableOf(state, kind);
+        if (!table.m_isRead || table.m_follower.m_failures == 0) {
+            continue;
+        }
+        if (table.m_follower.m_isRunning) {
+            return kind;
+        }
+        if (!probe || table.m_follower.m_nextAt < tableOf(state, *probe).m_follower.m_nextAt) {
+            probe = kind;
+        }
+    }
+    return probe;
+}
+
+/// Tells whether a table may be asked for. While the store gives no answers, one is; the others wait for that.
+bool mayCall(const State &state, TableKind kind)
+{
+    const KnownTable &table = tableOf(state, kind);
+    return table.m_isRead && (table.m_follower.m_failures == 0 || probeOf(state) == kind);
+}
+
+/// Lets the calls about all tables wait for the store as long as the one that has just failed, or makes them due when it has answered again.
+void shareOutcome(State &state, const Store::Follower &follower, std::uint32_t failuresBefore, TimePoint now)
+{
+    for (KnownTable &table : state.m_tables) {
+        Store::Follower &other = table.m_follower;
+        if (follower.m_failures > 0 && other.m_failures > 0) {
+            other.m_pause = std::max(other.m_pause, follower.m_pause);
+            other.m_nextAt = std::max(other.m_nextAt, follower.m_nextAt);
+        } else if (failuresBefore > 0 && follower.m_failures == 0) {
+            other.m_nextAt = std::min(other.m_nextAt, now);
+        }
+    }
+}
+
 void noteOutcome(State &state, KnownTable &table, std::uint32_t failuresBefore, const Store::Result &result, Actions &actions)
 {
     const Store::Follower &follower = table.m_follower;
@@ -187,6 +227,7 @@
     const std::uint32_t failuresBefore = table.m_follower.m_failures;
     const FollowOutcome outcome = Store::takeAnswer(table.m_follower, result, state.m_storeClock, now);
     noteOutcome(state, table, failuresBefore, result, actions);
+    shareOutcome(state, table.m_follower, failuresBefore, now);
     if (Fleet::takeFromStore(table.m_shared, table.m_follower, outcome)) {
         onTableChanged(state, kind, now, actions);
         spreadNews(state, kind);
@@ -261,10 +302,12 @@
 
 void callStore(State &state, TimePoint now, Actions &actions)
 {
+    for (const TableKind kind : AllTables) {
+        switchReading(state, tableOf(state, kind), kind, now);
+    }
     for (const TableKind kind : AllTables) {
         KnownTable &table = tableOf(state, kind);
-        switchReading(state, table, kind, now);
-        auto call = table.m_isRead ? Store::nextCall(table.m_follower, now) : std::nullopt;
+        auto call = mayCall(state, kind) ? Store::nextCall(table.m_follower, now) : std::nullopt;
         if (call) {
             startCall(state, {CallPurpose::Follow, kind}, std::move(*call), actions);
         }
@@ -276,9 +319,9 @@
     TimePoint next = TimePoint::max();
     for (const TableKind kind : AllTables) {
         const KnownTable &table = tableOf(state, kind);
-        if (table.m_isRead) {
+        if (mayCall(state, kind)) {
             next = std::min(next, Store::nextCallAt(table.m_follower));
-        } else if (table.m_shared.m_confirmedAt) {
+        } else if (!table.m_isRead && table.m_shared.m_confirmedAt) {
             next = std::min(next, *table.m_shared.m_confirmedAt + staleAfter(state, kind) + Duration(1000));
         }
     }
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -88,7 +88,7 @@
     follower.m_isRunning = true;
     follower.m_sentAt = now;
     if (!follower.m_mustRead) {
-        const bool asksAtOnce = std::exchange(follower.m_asksAtOnce, false);
+        const bool asksAtOnce = std::exchange(follower.m_asksAtOnce, false) || follower.m_failures > 0;
         return FollowTable{follower.m_table, follower.m_version, asksAtOnce ? std::chrono::milliseconds(0) : follower.m_settings.m_wait};
     }
     ReadRows read;
--- a/tests/host/fleet.cpp
+++ b/tests/host/fleet.cpp
@@ -195,6 +195,35 @@
     }
 }
 
+TEST_CASE("regression: each host asked a store that was down for each table by itself")
+{
+    // Calls cost the users money, also those that fail.
+    constexpr std::uint64_t MostCallsASecond = 2; // Of one host.
+    constexpr int DownFor = 8;
+    FakeWorld world(5);
+    settle(world, 12, 4);
+    world.run(seconds(2));
+    const auto callsOf = [&](const HostId &host) { return world.state(host).m_counters.at("store_calls"); };
+    std::map<HostId, std::uint64_t> before;
+    for (const auto &[id, state] : world.m_hosts) {
+        before[id] = callsOf(id);
+        world.m_storeModes[id] = StoreMode::Refusing;
+    }
+    world.run(seconds(DownFor));
+    for (const auto &[id, state] : world.m_hosts) {
+        CHECK(callsOf(id) - before[id] <= MostCallsASecond * DownFor);
+        world.m_storeModes[id] = StoreMode::Serving;
+    }
+    writeConfiguration(world, 2);
+    drain(world, "s2");
+    world.run(seconds(1));
+    for (const auto &[id, state] : world.m_hosts) {
+        CHECK(versionOn(world, id) == 2);
+        CHECK(knowsAsLeaving(world, id, "s2"));
+        CHECK(world.m_ready[id]);
+    }
+}
+
 TEST_CASE("configurations that are too old")
 {
     FakeWorld world(9);
