Split the scheduler by the steps of a draw

Placement, queues and tokens are files of their own now, joined by a private header; functions stay as they were, but for the refusal of late draws, which is the first step of serving a queue.

Ruled out: a class for each step; the steps share the scheduler's plain state.

--- /dev/null
+++ b/include/ragwortrelay/detail/scheduling/placement.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <ragwortrelay/scheduling/scheduler.h>
+
+/// Steps of a draw on its way to a server, for the scheduler's own files. Functions that change a scheduler are not thread-safe on one.
+namespace RagwortRelay::Scheduling::detail {
+
+/// What a caller is told at most to wait for a token or a slot.
+inline constexpr Duration LongestRetryAfter = std::chrono::seconds(1);
+
+/// Makes the answer to a draw that gets no server. Thread-safe.
+DrawAnswer refusal(const Draw &draw, RefusalReason reason, Duration retryAfter);
+
+/// Refuses a draw for want of a server. Its request isn't served, but for a hedge, which runs already.
+DrawAnswer refuse(Scheduler &scheduler, const Draw &draw, RefusalReason reason, Duration retryAfter, TimePoint now);
+
+/// Gives a draw its server.
+DrawAnswer grant(Scheduler &scheduler, const Draw &draw, const ServerId &server, const Asker &asker, TimePoint now);
+
+/// Returns how long an answer of a service usually takes; zero for one that is unknown.
+Duration usualTimeOf(const Scheduler &scheduler, const ServiceId &service);
+
+/// Makes the entry of a draw that is going to wait. Thread-safe.
+QueuedDraw queuedDraw(const Draw &draw, const Asker &asker, double turn, TimePoint now);
+
+/// Returns the id of a draw that waits.
+DrawId idOf(const QueuedDraw &entry);
+
+/// Returns how much longer a request is refused since it has crashed servers.
+std::optional<Duration> barredFor(const Scheduler &scheduler, const Draw &draw, TimePoint now);
+
+/// Tells whether a request has to wait until it is known what else was present when it may have crashed a server.
+bool awaitsReports(const Scheduler &scheduler, const Draw &draw, TimePoint now);
+
+/// Queues a draw for a slot, or refuses it when it would wait for too long.
+std::optional<DrawAnswer> enqueue(Scheduler &scheduler, const Draw &draw, const Asker &asker, TimePoint now);
+
+/// Answers the draws of a queue for which there is a slot now, and refuses those that can't be answered in time any more.
+void serveQueue(Scheduler &scheduler, const ServiceId &service, DrawQueue &queue, RandomGenerator &random, TimePoint now, std::vector<Answered> &answers);
+
+/// Answers a draw that has its token, or queues it for a slot.
+std::optional<DrawAnswer> place(Scheduler &scheduler, const Draw &draw, const Asker &asker, RandomGenerator &random, TimePoint now);
+
+/// What became of a draw at the limit of its workspace.
+enum class LimitOutcome : std::uint8_t {
+    Passed,
+    Waits,
+    Refused,
+};
+
+/// Takes a token of the workspace's limit, or lets the draw wait for one that will be there soon.
+LimitOutcome takeLimit(Scheduler &scheduler, const Draw &draw, const Asker &asker, TimePoint now);
+
+/// Refuses a draw whose workspace has no token in time.
+DrawAnswer overLimit(Scheduler &scheduler, const Draw &draw, TimePoint now);
+
+/// Goes on with the draws for which there is a token now. One that can't be answered in time any more is refused.
+void serveTokens(Scheduler &scheduler, RandomGenerator &random, TimePoint now, std::vector<Answered> &answers);
+
+}
