Forget idle connections of hosts that are gone, and disputes that are settled

Cause, found by reading the change: a lead kept the last connections of each host that ever asked, so that a fleet whose hosts are replaced would fill it; and a host went on pulsing the lost lead once a second after its new lead had been found.

Ruled out: a bound on the number of hosts; a map by time would be needed.

--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -66,7 +66,7 @@
     std::map<WorkspaceId, Limits::Pool> m_pools;
     std::map<WorkspaceId, double> m_weights; ///< Turns of workspaces, where they are others than 1.
     Dispatch::Suspects m_suspects;
-    TimePoint m_suspectsExpiredAt{};
+    TimePoint m_expiredAt{}; ///< Last time that old suspects and connections were forgotten.
     std::map<Dispatch::Fingerprint, TimePoint> m_barred; ///< Requests that another host has found guilty of crashes, until when.
     std::map<ServiceId, RetryBudget> m_budgets;
     std::map<WorkspaceId, std::deque<QueuedDraw>> m_awaitingTokens; ///< Draws of workspaces that have no token left, in the order in which they came.
--- a/include/ragwortrelay/scheduling/serverbook.h
+++ b/include/ragwortrelay/scheduling/serverbook.h
@@ -155,6 +155,9 @@
 /// Counts requests that run for much longer than is usual as evidence against their servers. Linear in the requests that run.
 void noteOverdue(ServerBook &book, const PickSettings &settings, const std::map<HostId, FailureDomainId> &domains, TimePoint now);
 
+/// Forgets connections that hosts have not used for so long that they are no longer counted on. Linear in the hosts that have asked for each service.
+void forgetIdleConnections(ServerBook &book, const PickSettings &settings, TimePoint now);
+
 /// Tells whether any usable server of a service has a free slot. Linear in its servers.
 bool hasFreeSlot(const ServerBook &book, const ServiceId &service, TimePoint now);
 
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -104,6 +104,7 @@
     }
     leadership.m_isReader = pulse.m_reader;
     if (pulse.m_lead == lead) {
+        leadership.m_undecided = 0;
         return;
     }
     release(leadership, lead); // It doesn't lead, so it uses no part but its own.
--- a/src/scheduling/picking.cpp
+++ b/src/scheduling/picking.cpp
@@ -11,7 +11,7 @@
 using detail::isUsable;
 using detail::slownessOf;
 
-/// Tells whether so many attempts of a service fail that no sound server may be left unused.
+/// Tells whether so many requests of a service aren't served that no sound server may be left unused.
 bool isFailing(const ServiceState &service, const PickSettings &settings)
 {
     constexpr double LeastOutcomes = 8.0;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -15,9 +15,10 @@
 void noteRequest(Scheduler &scheduler, const DrawDone &done, std::uint64_t fingerprint, const Asker &asker, TimePoint now)
 {
     constexpr Duration ExpireInterval = std::chrono::seconds(1);
-    if (now - scheduler.m_suspectsExpiredAt >= ExpireInterval) {
-        scheduler.m_suspectsExpiredAt = now;
+    if (now - scheduler.m_expiredAt >= ExpireInterval) {
+        scheduler.m_expiredAt = now;
         Dispatch::expireSuspects(scheduler.m_suspects, scheduler.m_settings.m_suspects, now);
+        forgetIdleConnections(scheduler.m_book, scheduler.m_settings.m_pick, now);
     }
     if (done.m_end == AttemptEnd::Broken && done.m_fingerprint != 0) {
         Dispatch::noteCrash(scheduler.m_suspects, scheduler.m_settings.m_suspects, done.m_fingerprint, {asker.m_host, done.m_number}, {done.m_server, now});
--- a/src/scheduling/serverbook.cpp
+++ b/src/scheduling/serverbook.cpp
@@ -275,6 +275,14 @@
     }
 }
 
+void forgetIdleConnections(ServerBook &book, const PickSettings &settings, TimePoint now)
+{
+    for (auto &[id, service] : book.m_services) {
+        std::erase_if(service.m_idle,
+                      [&](const auto &entry) { return entry.second.empty() || now - entry.second.back().m_since >= settings.m_connectionKept; });
+    }
+}
+
 bool hasFreeSlot(const ServerBook &book, const ServiceId &service, TimePoint now)
 {
     const auto found = book.m_services.find(service);
--- a/tests/fleet/leadership.cpp
+++ b/tests/fleet/leadership.cpp
@@ -148,6 +148,7 @@
         pulses.run(milliseconds(1500));
         CHECK(pulses.leads().size() == 1);
         CHECK_FALSE(pulses.leads().contains(lead));
+        CHECK(std::ranges::all_of(pulses.m_hosts, [](const auto &host) { return host.second.m_undecided == 0; }));
         pulses.run(milliseconds(2100)); // The leases end 2.2 s after the last pulse, which was sent 1.3 s after the loss at most.
         CHECK(pulses.shares() == Approx(6.0 / 7.0));
     }
--- a/tests/scheduling/serverbook.cpp
+++ b/tests/scheduling/serverbook.cpp
@@ -329,6 +329,13 @@
         startDraw(book, settings, drawOf(50, true), ServerId("s5"), Self, now);
         CHECK_FALSE(picksIt(Self, true));
     }
+    SECTION("are forgotten some time after they were used")
+    {
+        forgetIdleConnections(book, settings, now + std::chrono::seconds(1));
+        CHECK(book.m_services.at(Desk).m_idle.size() == 1);
+        forgetIdleConnections(book, settings, now + std::chrono::seconds(5));
+        CHECK(book.m_services.at(Desk).m_idle.empty());
+    }
     SECTION("are not preferred when they look sick")
     {
         endDraw(book, settings, doneOf(51, ServerId("s5"), AttemptEnd::Broken), {HostId("h2"), Self.m_domain}, now);
