Let one piece serve a draw in the tests of picking, and note the last plays

Cause: five tests had the same lines to pick, start and end a request.

Ruled out: a fixture; the tests differ in what they keep besides.

--- a/tests/scheduling/serverbook.cpp
+++ b/tests/scheduling/serverbook.cpp
@@ -51,6 +51,22 @@
     return {number, server, end, milliseconds(100), 0, 0, false};
 }
 
+/// Has a draw served at once; returns its server.
+ServerId serveOne(ServerBook &book, const PickSettings &settings, const Draw &draw, const Asker &asker, AttemptEnd end, RandomGenerator &random, TimePoint now)
+{
+    const auto server = pickServer(book, settings, draw, asker, random, now);
+    REQUIRE(server);
+    startDraw(book, settings, draw, *server, asker, now);
+    endDraw(book, settings, doneOf(draw.m_number, *server, end), asker, now);
+    return *server;
+}
+
+/// Returns how many servers got a request within two seconds.
+std::ptrdiff_t usedLately(const std::map<ServerId, TimePoint> &lastUsed, TimePoint now)
+{
+    return std::ranges::count_if(lastUsed, [&](const auto &entry) { return now - entry.second < std::chrono::seconds(2); });
+}
+
 /// Requests to one service, one after the other.
 struct Series {
     int m_servers;
@@ -78,8 +94,7 @@
         endDraw(book, settings, end(i, *server), Self, now);
         lastUsed[*server] = now;
         if (i > 400) {
-            const auto used = std::ranges::count_if(lastUsed, [&](const auto &entry) { return now - entry.second < std::chrono::seconds(2); });
-            fewest = std::min(fewest, static_cast<std::size_t>(used));
+            fewest = std::min(fewest, static_cast<std::size_t>(usedLately(lastUsed, now)));
         }
     }
     return fewest;
@@ -229,14 +244,10 @@
             state.m_slowness = 5.0;
             state.m_slownessAt = now;
         }
-        const auto server = pickServer(book, settings, drawOf(i, false), Self, random, now);
-        REQUIRE(server);
-        startDraw(book, settings, drawOf(i, false), *server, Self, now);
-        endDraw(book, settings, doneOf(i, *server, i % 6 == 0 ? AttemptEnd::Broken : AttemptEnd::Succeeded), Self, now);
-        lastUsed[*server] = now;
+        const AttemptEnd end = i % 6 == 0 ? AttemptEnd::Broken : AttemptEnd::Succeeded;
+        lastUsed[serveOne(book, settings, drawOf(i, false), Self, end, random, now)] = now;
         if (i > 200) {
-            const auto used = std::ranges::count_if(lastUsed, [&](const auto &entry) { return now - entry.second < std::chrono::seconds(2); });
-            CHECK(static_cast<double>(used) >= 0.7 * Servers);
+            CHECK(static_cast<double>(usedLately(lastUsed, now)) >= 0.7 * Servers);
         }
     }
 }
@@ -281,15 +292,10 @@
             state.m_slowness = id < ServerId("s4") ? 1.0 : 5.0;
             state.m_slownessAt = now;
         }
-        const auto server = pickServer(book, settings, drawOf(i, false), Self, random, now);
-        REQUIRE(server);
-        startDraw(book, settings, drawOf(i, false), *server, Self, now);
-        endDraw(book, settings, doneOf(i, *server, AttemptEnd::Succeeded), Self, now);
+        lastUsed[serveOne(book, settings, drawOf(i, false), Self, AttemptEnd::Succeeded, random, now)] = now;
         noteRefused(book, settings, Desk, now);
-        lastUsed[*server] = now;
         if (i > 50) {
-            const auto used = std::ranges::count_if(lastUsed, [&](const auto &entry) { return now - entry.second < std::chrono::seconds(2); });
-            CHECK(static_cast<double>(used) >= 0.7 * Servers);
+            CHECK(static_cast<double>(usedLately(lastUsed, now)) >= 0.7 * Servers);
         }
     }
 }
@@ -366,11 +372,7 @@
     for (std::uint64_t i = 1; i <= 3000; ++i) {
         now += milliseconds(20);
         const Asker asker{HostId("h" + std::to_string(i % 3)), Self.m_domain};
-        const auto server = pickServer(book, settings, drawOf(i, true), asker, random, now);
-        REQUIRE(server);
-        startDraw(book, settings, drawOf(i, true), *server, asker, now);
-        endDraw(book, settings, doneOf(i, *server, AttemptEnd::Succeeded), asker, now);
-        lastUsed[*server] = now;
+        lastUsed[serveOne(book, settings, drawOf(i, true), asker, AttemptEnd::Succeeded, random, now)] = now;
         if (i > 200) {
             CHECK(std::ranges::all_of(lastUsed, [&](const auto &entry) { return now - entry.second < std::chrono::seconds(2); }));
         }
@@ -391,10 +393,7 @@
     }
     for (std::uint64_t i = 1; i <= 100; ++i) {
         now += milliseconds(200);
-        const auto server = pickServer(book, settings, drawOf(i, true), Self, random, now);
-        REQUIRE(server);
-        CHECK(book.m_servers.at(*server).m_server.m_domain == Self.m_domain);
-        startDraw(book, settings, drawOf(i, true), *server, Self, now);
-        endDraw(book, settings, doneOf(i, *server, AttemptEnd::Succeeded), Self, now);
+        const ServerId server = serveOne(book, settings, drawOf(i, true), Self, AttemptEnd::Succeeded, random, now);
+        CHECK(book.m_servers.at(server).m_server.m_domain == Self.m_domain);
     }
 }
