--- a/include/ragwortrelay/dispatch/crashsuspects.h
+++ b/include/ragwortrelay/dispatch/crashsuspects.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 
 /// Requests that may crash the backend servers that execute them. `docs/dispatch.md` explains how other requests are distinguished from them.
@@ -48,11 +49,27 @@
 
 /// Records that a server broke the connection while it executed the request. A crash that is already recorded has no effect.
 /// Not thread-safe on one state.
-void recordCrash(CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, const CrashId &id, const Crash &crash);
+/// @return whether the crash was not recorded yet
+bool recordCrash(CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, const CrashId &id, const Crash &crash);
 
 /// Removes a suspect, because a server has executed the request and survived. Returns whether it was suspected. Not thread-safe on one state.
 bool clearSuspect(CrashSuspects &suspects, Fingerprint fingerprint);
 
+/// Whether a request is quarantined, and if not, why.
+enum class QuarantineVerdict : std::uint8_t {
+    Quarantined,
+    TooFewCrashes, ///< The request was present at too few crashes.
+    TooManyCandidates, ///< So many requests look like causes that the service or the network seems to be failing.
+    AlternativeCause, ///< Another request was present at crashes of all the same servers.
+    Expired, ///< The quarantine is over.
+};
+
+/// Returns the name of a verdict for logs. Thread-safe.
+std::string toString(QuarantineVerdict verdict);
+
+/// Returns the verdict on a request. Complexity as for quarantineRemaining(). Thread-safe like isSuspect().
+QuarantineVerdict quarantineVerdict(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, TimePoint now);
+
 /// Returns whether the request was present at a crash. Thread-safe on a constant state.
 bool isSuspect(const CrashSuspects &suspects, Fingerprint fingerprint);
 
--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -59,6 +59,15 @@
     std::uint64_t m_fingerprint = 0; ///< Fingerprint of the request.
 };
 
+/// A crash that a scheduler has recorded.
+struct RecordedCrash {
+    Dispatch::Fingerprint m_fingerprint = 0;
+    Dispatch::CrashId m_id;
+    Dispatch::Crash m_crash;
+
+    friend bool operator==(const RecordedCrash &, const RecordedCrash &) = default;
+};
+
 /// State of a scheduler. On the leader it covers the whole fleet; on a host without a leader, only the requests of that host.
 struct Scheduler {
     SchedulerSettings m_settings;
@@ -66,6 +75,7 @@
     std::map<WorkspaceId, Limits::TokenBucket> m_buckets;
     std::map<WorkspaceId, double> m_weights; ///< Fair queueing weights of workspaces, where they differ from 1.
     Dispatch::CrashSuspects m_suspects;
+    std::vector<RecordedCrash> m_newCrashes; ///< Crashes recorded since the last call of takeNewCrashes().
     TimePoint m_lastExpiryAt{}; ///< Last removal of expired crash suspects and idle connections.
     std::map<Dispatch::Fingerprint, TimePoint> m_quarantined; ///< Requests quarantined by another host, with the end of their quarantine.
     std::map<ServiceId, RetryBudget> m_budgets;
@@ -114,6 +124,9 @@
 /// @param running numbers of the placements that run on the host
 void reconcile(Scheduler &scheduler, const HostId &host, const std::vector<std::uint64_t> &running, TimePoint startedBefore);
 
+/// Returns the crashes that were recorded since the last call.
+std::vector<RecordedCrash> takeNewCrashes(Scheduler &scheduler);
+
 /// Returns the requests that this scheduler has quarantined for crashing servers.
 std::vector<Dispatch::Fingerprint> quarantinedRequests(const Scheduler &scheduler, TimePoint now);
 
--- a/src/dispatch/crashsuspects.cpp
+++ b/src/dispatch/crashsuspects.cpp
@@ -64,7 +64,7 @@
 
 }
 
-void recordCrash(CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, const CrashId &id, const Crash &crash)
+bool recordCrash(CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, const CrashId &id, const Crash &crash)
 {
     const bool isNew = !suspects.m_crashes.contains(fingerprint);
     if (isNew && suspects.m_crashes.size() >= settings.m_maxSuspects) {
@@ -75,12 +75,11 @@
         const Crash &other = entry.second;
         return other.m_server == crash.m_server && std::chrono::abs(other.m_at - crash.m_at) < settings.m_sameCrashWindow;
     });
-    if (!isDuplicate && crashes.size() < settings.m_crashThreshold) {
-        crashes.emplace(id, crash);
-    }
+    const bool isRecorded = !isDuplicate && crashes.size() < settings.m_crashThreshold && crashes.emplace(id, crash).second;
     if (reachesThreshold(crashes, settings)) {
         suspects.m_candidates.insert(fingerprint);
     }
+    return isRecorded;
 }
 
 bool clearSuspect(CrashSuspects &suspects, Fingerprint fingerprint)
@@ -99,15 +98,44 @@
     return suspects.m_candidates.contains(fingerprint) && now < lastCrashAt(suspects.m_crashes.at(fingerprint)) + settings.m_reportDelay;
 }
 
+std::string toString(QuarantineVerdict verdict)
+{
+    switch (verdict) {
+    case QuarantineVerdict::Quarantined:
+        return "quarantined";
+    case QuarantineVerdict::TooFewCrashes:
+        return "too-few-crashes";
+    case QuarantineVerdict::TooManyCandidates:
+        return "too-many-candidates";
+    case QuarantineVerdict::AlternativeCause:
+        return "alternative-cause";
+    case QuarantineVerdict::Expired:
+        return "expired";
+    }
+    return "unknown";
+}
+
+QuarantineVerdict quarantineVerdict(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, TimePoint now)
+{
+    if (!suspects.m_candidates.contains(fingerprint)) {
+        return QuarantineVerdict::TooFewCrashes;
+    }
+    if (suspects.m_candidates.size() > settings.m_maxCandidates) {
+        return QuarantineVerdict::TooManyCandidates;
+    }
+    const Crashes &crashes = suspects.m_crashes.at(fingerprint);
+    if (now >= lastCrashAt(crashes) + settings.m_quarantineDuration) {
+        return QuarantineVerdict::Expired;
+    }
+    return isLikelyCause(suspects, settings, fingerprint, crashes) ? QuarantineVerdict::Quarantined : QuarantineVerdict::AlternativeCause;
+}
+
 std::optional<Duration> quarantineRemaining(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, TimePoint now)
 {
-    const bool isPossible = suspects.m_candidates.contains(fingerprint) && suspects.m_candidates.size() <= settings.m_maxCandidates;
-    if (!isPossible) {
+    if (quarantineVerdict(suspects, settings, fingerprint, now) != QuarantineVerdict::Quarantined) {
         return std::nullopt;
     }
-    const Crashes &crashes = suspects.m_crashes.at(fingerprint);
-    const Duration remaining = lastCrashAt(crashes) + settings.m_quarantineDuration - now;
-    return remaining > Duration::zero() && isLikelyCause(suspects, settings, fingerprint, crashes) ? std::optional(remaining) : std::nullopt;
+    return lastCrashAt(suspects.m_crashes.at(fingerprint)) + settings.m_quarantineDuration - now;
 }
 
 void expireSuspects(CrashSuspects &suspects, const CrashSuspectSettings &settings, TimePoint now)
--- a/src/host/metrics.cpp
+++ b/src/host/metrics.cpp
@@ -44,6 +44,9 @@
     gauges["requests_in_flight"] = static_cast<double>(state.m_exchanges.size());
     gauges["draws_waiting"] = static_cast<double>(waitingPlacements(state.m_scheduler));
     gauges["limits_share"] = state.m_scheduler.m_share;
+    gauges["crash_suspects"] = static_cast<double>(state.m_scheduler.m_suspects.m_crashes.size());
+    gauges["crash_candidates"] = static_cast<double>(state.m_scheduler.m_suspects.m_candidates.size());
+    gauges["requests_quarantined"] = static_cast<double>(Scheduling::quarantinedRequests(state.m_scheduler, now).size());
     gauges["configuration_version"] = static_cast<double>(detail::configurationVersion(state));
     const auto age = detail::configurationAge(state, now);
     if (age) {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/detail/scheduling/placement.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace RagwortRelay::Scheduling {
 
@@ -11,6 +12,13 @@
 /// Interval between checks of waiting placements. Tokens accrue and servers that shed requests become available again without an event.
 constexpr Duration QueueInterval = std::chrono::milliseconds(20);
 
+void recordCrash(Scheduler &scheduler, const RecordedCrash &crash)
+{
+    if (Dispatch::recordCrash(scheduler.m_suspects, scheduler.m_settings.m_suspects, crash.m_fingerprint, crash.m_id, crash.m_crash)) {
+        scheduler.m_newCrashes.push_back(crash);
+    }
+}
+
 /// Updates the crash suspects by the end of an attempt, and removes expired suspects and idle connections once a second.
 void recordRequestOutcome(Scheduler &scheduler, const AttemptReport &report, std::uint64_t fingerprint, const Requester &requester, TimePoint now)
 {
@@ -21,8 +29,7 @@
         forgetIdleConnections(scheduler.m_registry, scheduler.m_settings.m_selection, now);
     }
     if (report.m_end == AttemptEnd::Broken && report.m_fingerprint != 0) {
-        Dispatch::recordCrash(
-            scheduler.m_suspects, scheduler.m_settings.m_suspects, report.m_fingerprint, {requester.m_host, report.m_number}, {report.m_server, now});
+        recordCrash(scheduler, {report.m_fingerprint, {requester.m_host, report.m_number}, {report.m_server, now}});
     } else if (report.m_end == AttemptEnd::Succeeded) {
         Dispatch::clearSuspect(scheduler.m_suspects, fingerprint);
     }
@@ -148,6 +155,11 @@
     reconcile(scheduler.m_registry, host, running, startedBefore);
 }
 
+std::vector<RecordedCrash> takeNewCrashes(Scheduler &scheduler)
+{
+    return std::exchange(scheduler.m_newCrashes, {});
+}
+
 std::vector<Dispatch::Fingerprint> quarantinedRequests(const Scheduler &scheduler, TimePoint now)
 {
     std::vector<Dispatch::Fingerprint> quarantined;
