--- /dev/null
+++ b/tests/processes/faultyserver.py
@@ -0,0 +1,180 @@
+"""Backend servers with faults that a well-behaved HTTP server can't have: they end, fall silent, reset connections, or send bytes out of turn."""
+
+import socket
+import struct
+import threading
+import time
+
+RESTART_SECONDS = 2.0
+WORK_SECONDS = 0.02
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Request:
+    """Request that a server has read."""
+
+    def __init__(self, head):
+        lines = head.decode("latin-1").split("\r\n")
+        self.method, self.target, _ = lines[0].split(" ", 2)
+        self.headers = {name.strip().lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:])}
+
+
+def respond(server, connection, request):
+    """Performs a request. The path selects the fault: /end, /fall-silent, /reset; other paths succeed."""
+    if request.target.startswith("/end"):
+        server.end()
+    elif request.target.startswith("/fall-silent"):
+        server.fall_silent()
+    elif request.target.startswith("/reset"):
+        reset(connection)
+    else:
+        time.sleep(WORK_SECONDS)
+        server.send(connection, OK)
+
+
+def reset(connection):
+    """Closes a connection by a reset."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
+class FaultyServer:
+    """Server with one thread a connection. A server that has ended comes back at the same address after RESTART_SECONDS."""
+
+    def __init__(self, behaviour=respond):
+        self.behaviour = behaviour
+        self.lock = threading.Lock()
+        self.ends = 0
+        self.life = 0  # Connections of an earlier life are never answered.
+        self.silent_until = 0.0
+        self.connections = set()
+        self.port = 0
+        self.is_closed = False
+        self.listener = None
+        self.listen()
+        self.address = f"127.0.0.1:{self.port}"
+
+    def listen(self):
+        with self.lock:
+            if self.is_closed:
+                return
+            self.listener = socket.create_server(("127.0.0.1", self.port), backlog=64)
+            self.port = self.listener.getsockname()[1]
+            threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
+
+    def accept(self, listener):
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            with self.lock:
+                self.connections.add(connection)
+                life = self.life if time.monotonic() >= self.silent_until else None
+            if life is not None:
+                threading.Thread(target=self.serve, args=(connection, life), daemon=True).start()
+
+    def serve(self, connection, life):
+        received = b""
+        try:
+            while True:
+                while b"\r\n\r\n" not in received:
+                    part = connection.recv(65536)
+                    if not part:
+                        return connection.close()
+                    received += part
+                head, _, received = received.partition(b"\r\n\r\n")
+                request = Request(head)
+                length = int(request.headers.get("content-length", 0))
+                while len(received) < length:
+                    received += connection.recv(65536)
+                received = received[length:]
+                if life != self.life:
+                    return None
+                self.behaviour(self, connection, request)
+        except (OSError, ValueError):
+            return connection.close()
+
+    def send(self, connection, response):
+        with self.lock:
+            is_alive = connection in self.connections
+        if is_alive:
+            connection.sendall(response)
+
+    def end(self):
+        """Ends like a process that crashes: its connections are reset, new ones refused."""
+        with self.lock:
+            self.ends += 1
+            self.life += 1
+            # A blocked accept() keeps the port open unless it is woken.
+            self.listener.shutdown(socket.SHUT_RDWR)
+            self.listener.close()
+            connections, self.connections = self.connections, set()
+        for connection in connections:
+            try:
+                reset(connection)
+            except OSError:
+                pass  # The other end has closed it.
+        restart = threading.Timer(RESTART_SECONDS, self.listen)
+        restart.daemon = True
+        restart.start()
+
+    def fall_silent(self):
+        """Ends like a machine that loses power: its connections stay open, and nothing answers on them."""
+        with self.lock:
+            self.ends += 1
+            self.life += 1
+            self.silent_until = time.monotonic() + RESTART_SECONDS
+            self.silenced = getattr(self, "silenced", []) + list(self.connections)
+            self.connections = set()
+
+    def close(self):
+        with self.lock:
+            self.is_closed = True
+            self.listener.close()
+
+
+class RefusalRepeater:
+    """Behaviour of a server that refuses every fifth request of a connection, and writes that refusal once more when the next request arrives there."""
+
+    REFUSAL_INTERVAL = 5
+
+    def __init__(self, refusal):
+        self.refusal = refusal
+        self.requests = {}
+        self.runs = []
+
+    def __call__(self, server, connection, request):
+        with server.lock:
+            number = self.requests[connection] = self.requests.get(connection, 0) + 1
+        if number % self.REFUSAL_INTERVAL == 0:
+            return server.send(connection, self.refusal)
+        if number > 1 and number % self.REFUSAL_INTERVAL == 1:
+            server.send(connection, self.refusal)
+        self.runs.append(request.target)
+        time.sleep(WORK_SECONDS)
+        headers = f"Attempt-Id: {request.headers.get('attempt-id', '')}\r\nServer-Signature: s\r\n".encode()
+        return server.send(connection, b"HTTP/1.1 200 OK\r\n" + headers + b"Content-Length: 2\r\n\r\nok")
+
+
+class EndlessWriter:
+    """Behaviour of a server that writes bytes without end, until its peer closes the connection, to requests for a given path. Others succeed."""
+
+    def __init__(self, path, start, part):
+        self.path = path
+        self.start = start
+        self.part = part * (65536 // len(part))
+        self.closed_after = []  # Seconds from the request until the peer closed the connection.
+
+    def __call__(self, server, connection, request):
+        if not request.target.startswith(self.path):
+            return server.send(connection, OK)
+        started = time.monotonic()
+        try:
+            connection.sendall(self.start)
+            while not server.is_closed:
+                connection.sendall(self.part)
+        except OSError:
+            pass  # The peer has closed the connection.
+        self.closed_after.append(time.monotonic() - started)
+        raise OSError("the peer has closed the connection")
--- /dev/null
+++ b/tests/processes/test_faulty_responses.py
@@ -0,0 +1,139 @@
+"""Responses that backend servers must not send, with real processes."""
+
+import http.client
+import threading
+import time
+import unittest
+
+from faultyserver import EndlessWriter, FaultyServer, RefusalRepeater
+from fleet import Fleet, bearer, request
+from test_platform import PlatformFleet, send
+
+BOOKINGS = 600
+CALLERS = 6
+OWN_REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\nRagwortrelay-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+PLATFORM_REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def send_bookings(send_booking):
+    """Sends bookings by several callers at once. Returns their statuses by path."""
+    statuses = {}
+
+    def run(caller):
+        for number in range(caller, BOOKINGS, CALLERS):
+            path = f"/buy/{number}"
+            statuses[path] = send_booking(number, path).status
+
+    threads = [threading.Thread(target=run, args=(caller,)) for caller in range(CALLERS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return statuses
+
+
+class RepeatedRefusal(unittest.TestCase):
+    def check(self, behaviours, statuses):
+        runs = [path for behaviour in behaviours for path in behaviour.runs]
+        repeated = {path for path in runs if runs.count(path) > 1}
+        refused = {path for path, status in statuses.items() if status in (408, 421, 429, 503)}
+        self.assertEqual(len(repeated), 0)
+        self.assertEqual(len(refused & set(runs)), 0)
+        self.assertGreater(sum(status == 200 for status in statuses.values()), BOOKINGS // 2)
+
+    def test_refusal_written_again_is_not_taken_for_the_response_to_the_next_request(self):
+        behaviours = [RefusalRepeater(OWN_REFUSAL) for _ in range(4)]
+        with Fleet(hosts=2, backends=0) as fleet:
+            fleet.backends = [FaultyServer(behaviour) for behaviour in behaviours]
+            key = fleet.configure()
+            statuses = send_bookings(lambda number, path: request(fleet.hosts[number % 2].callers, "POST", path, bearer(key), b"x"))
+            self.check(behaviours, statuses)
+
+    def test_refusal_without_an_attempt_id_is_not_taken_for_the_response_to_the_next_request(self):
+        behaviours = [RefusalRepeater(PLATFORM_REFUSAL) for _ in range(4)]
+        with PlatformFleet(hosts=2, backends=4) as fleet:
+            for backend in fleet.backends:
+                backend.close()
+            fleet.backends = [FaultyServer(behaviour) for behaviour in behaviours]
+            fleet.publish()
+            statuses = send_bookings(lambda number, path: send(fleet.hosts[number % 2], path, method="POST", attempt=f"a{number}", body=b"x"))
+            self.check(behaviours, statuses)
+
+
+def peak_memory(process):
+    """Returns the greatest resident size of a process so far, in bytes."""
+    with open(f"/proc/{process.pid}/status", encoding="ascii") as file:
+        return next(int(line.split()[1]) for line in file if line.startswith("VmHWM:")) << 10
+
+
+class EndlessResponse(unittest.TestCase):
+    """A response without end ends with the request's deadline, uses little memory, and holds up no other request."""
+
+    DEADLINE_MS = 1000
+    SLACK_SECONDS = 1.5
+    MAX_GROWTH_BYTES = 16 << 20
+    OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+    CHUNKED = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+    def check(self, start, part):
+        for method in ("GET", "POST"):
+            behaviour = EndlessWriter("/endless", start, part)
+            with self.subTest(method), Fleet(hosts=1, backends=0) as fleet:
+                fleet.backends = [FaultyServer(behaviour) for _ in range(2)]
+                key = fleet.configure()
+                for route in ("lookup", "book"):
+                    fleet.set(fleet.hosts[0], "route/" + route, f"deadline_ms={self.DEADLINE_MS}")
+                before = peak_memory(fleet.hosts[0].process)
+                started = time.monotonic()
+                caller = threading.Thread(target=self.read_endless, args=(fleet.hosts[0], method, key))
+                caller.start()
+                slowest = 0.0
+                while caller.is_alive() and time.monotonic() - started < 10:
+                    sent = time.monotonic()
+                    self.assertEqual(request(fleet.hosts[0].callers, "GET", "/other", bearer(key)).status, 200)
+                    slowest = max(slowest, time.monotonic() - sent)
+                    time.sleep(0.05)
+                ended = time.monotonic() - started
+                time.sleep(0.5)
+                limit = self.DEADLINE_MS / 1000 + self.SLACK_SECONDS
+                growth = peak_memory(fleet.hosts[0].process) - before
+                self.assertLess(ended, limit)
+                self.assertGreaterEqual(len(behaviour.closed_after), 1)
+                self.assertLess(max(behaviour.closed_after), limit)
+                self.assertLess(slowest, self.DEADLINE_MS / 1000)
+                self.assertLess(growth, self.MAX_GROWTH_BYTES)
+
+    @staticmethod
+    def read_endless(host, method, key):
+        try:
+            request(host.callers, method, "/endless", bearer(key), b"x" if method == "POST" else None, timeout=30)
+        except (OSError, http.client.HTTPException):
+            pass  # A response that ends early breaks the connection.
+
+    def test_bytes_that_are_no_response(self):
+        self.check(b"", b"\x00\x01no response")
+
+    def test_header_line(self):
+        self.check(self.OK_HEAD + b"X-Long: ", b"a")
+
+    def test_interim_responses(self):
+        self.check(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def test_body_without_a_length(self):
+        self.check(self.OK_HEAD + b"\r\n", b"a")
+
+    def test_chunks(self):
+        self.check(self.CHUNKED, b"1\r\na\r\n")
+
+    def test_chunk_extension(self):
+        self.check(self.CHUNKED + b"1;x=", b"a")
+
+    def test_trailer(self):
+        self.check(self.CHUNKED + b"1\r\na\r\n0\r\nX-Long: ", b"a")
+
+    def test_body_of_a_failure(self):
+        self.check(b"HTTP/1.1 500 Internal Server Error\r\n\r\n", b"a")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -34,7 +34,7 @@
         self.backends = [StandIn("backend", 4, name) for name in self.names]
 
     def put(self, table, key, value):
-        body = value if isinstance(value, str) else json.dumps(value)
+        body = value if isinstance(value, (str, bytes)) else json.dumps(value)
         self.store.control(f"/standin/put?table={table}&key={key}", body)
 
     def configure(self, version=16, **fields):
