Quarantine a request after four crashes whatever other requests have met

What callers saw: a request that ends its servers went on being sent (53 servers in 40 sends, 6 allowed) once more than eight other requests had met two servers that reset connections; 389 of 811 other lookups failed with it. Cause: the quarantine rested on weak evidence only (crashes of two servers) and any quarantine was lifted while more than eight requests had that much. Besides, ends of one server within 10 s counted as one crash, so a service of few servers could lose each of them again and again. Change: - four crashes suffice in any case, whatever others have met; the bound of eight and another possible cause concern the weaker evidence only; - a crash counts against the request by attempts: those that ran on a server at the same time are one crash, a later one is another; - a response of the server disproves a crash if its request was running at that time, and makes it doubtful if it was sent within a second: a server that resets single connections hasn't ended. Doubtful crashes don't count as weak evidence; - the quarantine lasts 20 s, then one attempt at a time tries the request again; after five crashes it lasts ten minutes; - a full memory drops the suspect with the fewest crashes, not the one whose last crash is the oldest.

--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -124,6 +124,9 @@
 /// @param running numbers of the placements that run on the host
 void reconcile(Scheduler &scheduler, const HostId &host, const std::vector<std::uint64_t> &running, TimePoint startedBefore);
 
+/// Records a crash. One that is already recorded has no effect.
+void recordCrash(Scheduler &scheduler, const RecordedCrash &crash);
+
 /// Returns the crashes that were recorded since the last call.
 std::vector<RecordedCrash> takeNewCrashes(Scheduler &scheduler);
 
--- a/src/dispatch/crashsuspects.cpp
+++ b/src/dispatch/crashsuspects.cpp
@@ -1,7 +1,7 @@
 #include <ragwortrelay/dispatch/crashsuspects.h>
 
 #include <algorithm>
-#include <set>
+#include <tuple>
 
 namespace RagwortRelay::Dispatch {
 
@@ -13,7 +13,9 @@
 {
     std::set<ServerId> servers;
     for (const auto &[id, crash] : crashes) {
-        servers.insert(crash.m_server);
+        if (!crash.m_isDoubtful) {
+            servers.insert(crash.m_server);
+        }
     }
     return servers.size();
 }
@@ -32,70 +34,160 @@
     return last;
 }
 
+/// Returns the time at which the server has ended, if it has. A server that doesn't respond may have ended as soon as it had the request.
+TimePoint presumedEnd(const Crash &crash)
+{
+    return crash.m_sign == CrashSign::NoResponse ? crash.m_startedAt : crash.m_at;
+}
+
+/// Returns whether two attempts ran on a server at the same time, so that one crash explains the end of both.
+bool isSameCrash(const Crash &left, const Crash &right)
+{
+    return left.m_server == right.m_server && left.m_startedAt <= right.m_at && right.m_startedAt <= left.m_at;
+}
+
+/// Returns whether crashes are so numerous that no other cause can explain them.
+bool isConclusive(const Crashes &crashes, const CrashSuspectSettings &settings)
+{
+    return crashes.size() >= settings.m_crashThreshold;
+}
+
 /// Returns whether crashes are numerous enough to make a request a quarantine candidate.
 bool reachesThreshold(const Crashes &crashes, const CrashSuspectSettings &settings)
 {
     const bool isPossible = crashes.size() >= settings.m_serverThreshold;
-    return crashes.size() >= settings.m_crashThreshold || (isPossible && countServers(crashes) >= settings.m_serverThreshold);
+    return isConclusive(crashes, settings) || (isPossible && countServers(crashes) >= settings.m_serverThreshold);
 }
 
 /// Returns whether another suspect was present at crashes on all the same servers and thus may be the cause instead.
 bool hasAlternativeCause(const CrashSuspects &suspects, Fingerprint fingerprint, const Crashes &crashes)
 {
     return std::ranges::any_of(suspects.m_crashes, [&](const auto &other) {
-        const auto isShared = [&](const auto &entry) { return involvesServer(other.second, entry.second.m_server); };
+        const auto isShared = [&](const auto &entry) { return entry.second.m_isDoubtful || involvesServer(other.second, entry.second.m_server); };
         return other.first != fingerprint && std::ranges::all_of(crashes, isShared);
     });
 }
 
-/// Returns whether a request is the likely cause of its crashes, given all that is known about the other suspects.
-/// Precondition: the request is a candidate.
-bool isLikelyCause(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, const Crashes &crashes)
+/// Returns the duration of the quarantine after the last crash.
+Duration quarantineDuration(const Crashes &crashes, const CrashSuspectSettings &settings)
 {
-    return crashes.size() >= settings.m_crashThreshold || !hasAlternativeCause(suspects, fingerprint, crashes);
+    return crashes.size() >= settings.m_finalThreshold ? settings.m_quarantineDuration : settings.m_trialDelay;
 }
 
-void removeOldest(CrashSuspects &suspects)
+void updateCandidate(CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint)
 {
-    const auto oldest = std::ranges::min_element(suspects.m_crashes, {}, [](const auto &entry) { return lastCrashAt(entry.second); });
-    suspects.m_candidates.erase(oldest->first);
-    suspects.m_crashes.erase(oldest);
+    const auto found = suspects.m_crashes.find(fingerprint);
+    if (found != suspects.m_crashes.end() && reachesThreshold(found->second, settings)) {
+        suspects.m_candidates.insert(fingerprint);
+    } else {
+        suspects.m_candidates.erase(fingerprint);
+    }
 }
 
+/// Removes the suspect with the fewest crashes, and of several the one whose last crash is the oldest.
+void removeLeastSuspect(CrashSuspects &suspects)
+{
+    const auto rankOf = [](const auto &entry) { return std::tuple(entry.second.size(), lastCrashAt(entry.second)); };
+    const auto least = std::ranges::min_element(suspects.m_crashes, {}, rankOf);
+    suspects.m_candidates.erase(least->first);
+    suspects.m_crashes.erase(least);
 }
 
-bool recordCrash(CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, const CrashId &id, const Crash &crash)
+/// Adds a crash to those of a suspect. Beyond the final threshold, the oldest crash is dropped.
+/// @return whether the crash was added
+bool addCrash(Crashes &crashes, const CrashSuspectSettings &settings, const CrashId &id, const Crash &crash)
 {
-    const bool isNew = !suspects.m_crashes.contains(fingerprint);
-    if (isNew && suspects.m_crashes.size() >= settings.m_maxSuspects) {
-        removeOldest(suspects);
+    if (crashes.contains(id) || std::ranges::any_of(crashes, [&](const auto &entry) { return isSameCrash(entry.second, crash); })) {
+        return false;
     }
-    Crashes &crashes = suspects.m_crashes[fingerprint];
-    const bool isDuplicate = std::ranges::any_of(crashes, [&](const auto &entry) {
-        const Crash &other = entry.second;
-        return other.m_server == crash.m_server && std::chrono::abs(other.m_at - crash.m_at) < settings.m_sameCrashWindow;
-    });
-    const bool isRecorded = !isDuplicate && crashes.size() < settings.m_crashThreshold && crashes.emplace(id, crash).second;
-    if (reachesThreshold(crashes, settings)) {
-        suspects.m_candidates.insert(fingerprint);
+    if (crashes.size() >= settings.m_finalThreshold) {
+        const auto oldest = std::ranges::min_element(crashes, {}, [](const auto &entry) { return entry.second.m_at; });
+        if (crash.m_at <= oldest->second.m_at) {
+            return false;
+        }
+        crashes.erase(oldest);
     }
-    return isRecorded;
+    return crashes.emplace(id, crash).second;
 }
 
-bool clearSuspect(CrashSuspects &suspects, Fingerprint fingerprint)
+/// Forgets the crashes that no response of their servers can change any more.
+void forgetRecentCrashes(CrashSuspects &suspects, const CrashSuspectSettings &settings, TimePoint now)
 {
-    suspects.m_candidates.erase(fingerprint);
-    return suspects.m_crashes.erase(fingerprint) > 0;
+    const auto isObsolete = [&](const std::pair<Fingerprint, CrashId> &recent) {
+        const auto suspect = suspects.m_crashes.find(recent.first);
+        const bool isKnown = suspect != suspects.m_crashes.end() && suspect->second.contains(recent.second);
+        return !isKnown || now >= suspect->second.at(recent.second).m_at + settings.m_trialDelay;
+    };
+    for (auto &[server, recent] : suspects.m_recent) {
+        std::erase_if(recent, isObsolete);
+    }
+    std::erase_if(suspects.m_recent, [](const auto &entry) { return entry.second.empty(); });
 }
 
-bool isSuspect(const CrashSuspects &suspects, Fingerprint fingerprint)
+/// Applies a response of a server to one of its recent crashes.
+/// @return whether later responses may still change the crash
+bool applyResponse(
+    CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, const CrashId &id, TimePoint startedAt, TimePoint now)
 {
-    return suspects.m_crashes.contains(fingerprint);
+    const auto suspect = suspects.m_crashes.find(fingerprint);
+    if (suspect == suspects.m_crashes.end() || !suspect->second.contains(id)) {
+        return false;
+    }
+    Crash &crash = suspect->second.at(id);
+    const TimePoint end = presumedEnd(crash);
+    if (now < end + settings.m_responseLag) {
+        return true;
+    }
+    const bool wasRunning = crash.m_sign == CrashSign::BrokenConnection && startedAt < end - settings.m_responseLag;
+    if (wasRunning) {
+        suspect->second.erase(id);
+    } else if (startedAt < end + settings.m_minRestartTime) {
+        crash.m_isDoubtful = true;
+    }
+    if (suspect->second.empty()) {
+        suspects.m_crashes.erase(suspect);
+    }
+    updateCandidate(suspects, settings, fingerprint);
+    return !wasRunning && now < end + settings.m_trialDelay;
 }
 
-bool awaitsReports(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, TimePoint now)
+}
+
+std::string toString(CrashSign sign)
 {
-    return suspects.m_candidates.contains(fingerprint) && now < lastCrashAt(suspects.m_crashes.at(fingerprint)) + settings.m_reportDelay;
+    return sign == CrashSign::BrokenConnection ? "broken-connection" : "no-response";
+}
+
+bool recordCrash(CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, const CrashId &id, const Crash &crash)
+{
+    const bool isNew = !suspects.m_crashes.contains(fingerprint);
+    if (isNew && suspects.m_crashes.size() >= settings.m_maxSuspects) {
+        removeLeastSuspect(suspects);
+    }
+    const bool isAdded = addCrash(suspects.m_crashes[fingerprint], settings, id, crash);
+    if (isAdded) {
+        suspects.m_recent[crash.m_server].emplace_back(fingerprint, id);
+        updateCandidate(suspects, settings, fingerprint);
+    }
+    return isAdded;
+}
+
+void recordResponse(CrashSuspects &suspects, const CrashSuspectSettings &settings, const ServerId &server, TimePoint startedAt, TimePoint now)
+{
+    const auto recent = suspects.m_recent.find(server);
+    if (recent == suspects.m_recent.end()) {
+        return;
+    }
+    std::erase_if(recent->second, [&](const auto &entry) { return !applyResponse(suspects, settings, entry.first, entry.second, startedAt, now); });
+    if (recent->second.empty()) {
+        suspects.m_recent.erase(recent);
+    }
+}
+
+bool clearSuspect(CrashSuspects &suspects, Fingerprint fingerprint)
+{
+    suspects.m_candidates.erase(fingerprint);
+    return suspects.m_crashes.erase(fingerprint) > 0;
 }
 
 std::string toString(QuarantineVerdict verdict)
@@ -120,14 +212,33 @@
     if (!suspects.m_candidates.contains(fingerprint)) {
         return QuarantineVerdict::TooFewCrashes;
     }
-    if (suspects.m_candidates.size() > settings.m_maxCandidates) {
-        return QuarantineVerdict::TooManyCandidates;
-    }
     const Crashes &crashes = suspects.m_crashes.at(fingerprint);
-    if (now >= lastCrashAt(crashes) + settings.m_quarantineDuration) {
+    if (now >= lastCrashAt(crashes) + quarantineDuration(crashes, settings)) {
         return QuarantineVerdict::Expired;
     }
-    return isLikelyCause(suspects, settings, fingerprint, crashes) ? QuarantineVerdict::Quarantined : QuarantineVerdict::AlternativeCause;
+    if (isConclusive(crashes, settings)) {
+        return QuarantineVerdict::Quarantined;
+    }
+    if (suspects.m_candidates.size() > settings.m_maxCandidates) {
+        return QuarantineVerdict::TooManyCandidates;
+    }
+    return hasAlternativeCause(suspects, fingerprint, crashes) ? QuarantineVerdict::AlternativeCause : QuarantineVerdict::Quarantined;
+}
+
+bool isSuspect(const CrashSuspects &suspects, Fingerprint fingerprint)
+{
+    return suspects.m_crashes.contains(fingerprint);
+}
+
+bool awaitsReports(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, TimePoint now)
+{
+    return suspects.m_candidates.contains(fingerprint) && now < lastCrashAt(suspects.m_crashes.at(fingerprint)) + settings.m_reportDelay;
+}
+
+bool mustRunAlone(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint)
+{
+    const auto found = suspects.m_crashes.find(fingerprint);
+    return found != suspects.m_crashes.end() && isConclusive(found->second, settings);
 }
 
 std::optional<Duration> quarantineRemaining(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, TimePoint now)
@@ -135,13 +246,14 @@
     if (quarantineVerdict(suspects, settings, fingerprint, now) != QuarantineVerdict::Quarantined) {
         return std::nullopt;
     }
-    return lastCrashAt(suspects.m_crashes.at(fingerprint)) + settings.m_quarantineDuration - now;
+    const Crashes &crashes = suspects.m_crashes.at(fingerprint);
+    return lastCrashAt(crashes) + quarantineDuration(crashes, settings) - now;
 }
 
 void expireSuspects(CrashSuspects &suspects, const CrashSuspectSettings &settings, TimePoint now)
 {
     for (auto &[fingerprint, crashes] : suspects.m_crashes) {
-        const bool isRefused = reachesThreshold(crashes, settings) && now < lastCrashAt(crashes) + settings.m_quarantineDuration;
+        const bool isRefused = reachesThreshold(crashes, settings) && now < lastCrashAt(crashes) + quarantineDuration(crashes, settings);
         if (!isRefused) {
             std::erase_if(crashes, [&](const auto &entry) { return now >= entry.second.m_at + settings.m_crashWindow; });
         }
@@ -151,6 +263,7 @@
         const auto found = suspects.m_crashes.find(fingerprint);
         return found == suspects.m_crashes.end() || !reachesThreshold(found->second, settings);
     });
+    forgetRecentCrashes(suspects, settings, now);
 }
 
 }
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -32,6 +32,15 @@
     return std::nullopt;
 }
 
+/// Tells whether another attempt of the request is running. Linear in the running attempts.
+bool isRunning(const Scheduler &scheduler, const PlacementRequest &placement, TimePoint now)
+{
+    const TimePoint since = now - scheduler.m_settings.m_suspects.m_trialDelay; // Older attempts may belong to hosts that are gone.
+    return std::ranges::any_of(scheduler.m_granted, [&](const auto &granted) {
+        return granted.second.m_fingerprint == placement.m_fingerprint && granted.second.m_grantedAt > since;
+    });
+}
+
 }
 
 PlacementReply refusal(const PlacementRequest &placement, RefusalReason reason, Duration retryAfter)
@@ -72,6 +81,10 @@
 
 std::optional<Duration> quarantineRemaining(const Scheduler &scheduler, const PlacementRequest &placement, TimePoint now)
 {
+    constexpr Duration TrialRetryAfter = std::chrono::seconds(1); // While another attempt shows whether the request crashes a server.
+    if (Dispatch::mustRunAlone(scheduler.m_suspects, scheduler.m_settings.m_suspects, placement.m_fingerprint) && isRunning(scheduler, placement, now)) {
+        return TrialRetryAfter;
+    }
     const auto remaining = Dispatch::quarantineRemaining(scheduler.m_suspects, scheduler.m_settings.m_suspects, placement.m_fingerprint, now);
     const auto quarantined = scheduler.m_quarantined.find(placement.m_fingerprint);
     if (remaining || quarantined == scheduler.m_quarantined.end() || quarantined->second <= now) {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -12,11 +12,11 @@
 /// Interval between checks of waiting placements. Tokens accrue and servers that shed requests become available again without an event.
 constexpr Duration QueueInterval = std::chrono::milliseconds(20);
 
-void recordCrash(Scheduler &scheduler, const RecordedCrash &crash)
+/// Returns the sign of a crash in an attempt that may have crashed its server.
+Dispatch::CrashSign signOf(AttemptEnd end)
 {
-    if (Dispatch::recordCrash(scheduler.m_suspects, scheduler.m_settings.m_suspects, crash.m_fingerprint, crash.m_id, crash.m_crash)) {
-        scheduler.m_newCrashes.push_back(crash);
-    }
+    const bool isBroken = end == AttemptEnd::Broken || end == AttemptEnd::MalformedResponse;
+    return isBroken ? Dispatch::CrashSign::BrokenConnection : Dispatch::CrashSign::NoResponse;
 }
 
 /// Updates the crash suspects by the end of an attempt, and removes expired suspects and idle connections once a second.
@@ -28,10 +28,12 @@
         Dispatch::expireSuspects(scheduler.m_suspects, scheduler.m_settings.m_suspects, now);
         forgetIdleConnections(scheduler.m_registry, scheduler.m_settings.m_selection, now);
     }
-    if (report.m_end == AttemptEnd::Broken && report.m_fingerprint != 0) {
-        recordCrash(scheduler, {report.m_fingerprint, {requester.m_host, report.m_number}, {report.m_server, now}});
-    } else if (report.m_end == AttemptEnd::Succeeded) {
+    const TimePoint startedAt = now - report.m_elapsed;
+    if (report.m_end == AttemptEnd::Succeeded) {
+        Dispatch::recordResponse(scheduler.m_suspects, scheduler.m_settings.m_suspects, report.m_server, startedAt, now);
         Dispatch::clearSuspect(scheduler.m_suspects, fingerprint);
+    } else if (report.m_fingerprint != 0) {
+        recordCrash(scheduler, {report.m_fingerprint, {requester.m_host, report.m_number}, {report.m_server, now, startedAt, signOf(report.m_end), false}});
     }
 }
 
@@ -155,6 +157,13 @@
     reconcile(scheduler.m_registry, host, running, startedBefore);
 }
 
+void recordCrash(Scheduler &scheduler, const RecordedCrash &crash)
+{
+    if (Dispatch::recordCrash(scheduler.m_suspects, scheduler.m_settings.m_suspects, crash.m_fingerprint, crash.m_id, crash.m_crash)) {
+        scheduler.m_newCrashes.push_back(crash);
+    }
+}
+
 std::vector<RecordedCrash> takeNewCrashes(Scheduler &scheduler)
 {
     return std::exchange(scheduler.m_newCrashes, {});
@@ -175,7 +184,7 @@
 {
     std::erase_if(scheduler.m_quarantined, [&](const auto &entry) { return entry.second <= now; });
     for (const Dispatch::Fingerprint fingerprint : fingerprints) {
-        scheduler.m_quarantined[fingerprint] = now + scheduler.m_settings.m_suspects.m_quarantineDuration;
+        scheduler.m_quarantined[fingerprint] = now + scheduler.m_settings.m_suspects.m_trialDelay;
     }
 }
 
--- a/tests/dispatch/policies.cpp
+++ b/tests/dispatch/policies.cpp
@@ -10,12 +10,29 @@
 
 using namespace RagwortRelay;
 using namespace RagwortRelay::Dispatch;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
 
 constexpr Fingerprint CrashingRequest = 1000;
 
+/// Returns the crash of a server under an attempt that was started 100 ms earlier.
+Crash crashAt(const ServerId &server, TimePoint now)
+{
+    return {server, now, now - milliseconds(100)};
+}
+
+/// Records crashes of one request on several servers, one a second.
+void recordCrashes(CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, int count, TimePoint now)
+{
+    for (int crash = 0; crash < count; ++crash) {
+        const ServerId server("s" + std::to_string(crash));
+        recordCrash(
+            suspects, settings, fingerprint, {HostId("h"), fingerprint * 100 + static_cast<std::uint64_t>(crash)}, crashAt(server, now + seconds(crash)));
+    }
+}
+
 Fingerprint bystanderAt(int number)
 {
     return static_cast<Fingerprint>(number);
@@ -43,10 +60,10 @@
             for (int crash = 0; crash < crashes; ++crash) {
                 now += seconds(20);
                 const ServerId server("s" + std::to_string(randomBelow(random, 4)));
-                reports.push_back({CrashingRequest, {HostId("h0"), ++attempt}, {server, now}});
+                reports.push_back({CrashingRequest, {HostId("h0"), ++attempt}, crashAt(server, now)});
                 for (int bystander = 0; bystander < bystanders; ++bystander) {
                     if (randomBelow(random, 2) == 0) {
-                        reports.push_back({bystanderAt(bystander), {HostId("h1"), ++attempt}, {server, now}});
+                        reports.push_back({bystanderAt(bystander), {HostId("h1"), ++attempt}, crashAt(server, now)});
                     }
                 }
             }
@@ -79,18 +96,117 @@
         for (int request = 0; request < 20; ++request) {
             for (int crash = 0; crash < 2; ++crash) {
                 const ServerId server("s" + std::to_string(request) + std::to_string(crash));
-                recordCrash(suspects, settings, static_cast<Fingerprint>(request), {HostId("h"), static_cast<std::uint64_t>(crash)}, {server, now});
+                recordCrash(suspects, settings, static_cast<Fingerprint>(request), {HostId("h"), static_cast<std::uint64_t>(crash)}, crashAt(server, now));
             }
         }
         CHECK_FALSE(quarantineRemaining(suspects, settings, 3, now + seconds(1)));
     }
 
+    SECTION("regression: a request that crashed four servers was let through while many other requests had met resets")
+    {
+        const CrashSuspectSettings settings;
+        CrashSuspects suspects;
+        const TimePoint now{seconds(1000)};
+        for (int request = 0; request < 20; ++request) {
+            recordCrashes(suspects, settings, static_cast<Fingerprint>(request), 3, now);
+        }
+        recordCrashes(suspects, settings, CrashingRequest, 3, now);
+        CHECK(quarantineVerdict(suspects, settings, CrashingRequest, now + seconds(4)) == QuarantineVerdict::TooManyCandidates);
+        recordCrash(suspects, settings, CrashingRequest, {HostId("h"), 1}, crashAt(ServerId("s9"), now + seconds(4)));
+        CHECK(quarantineRemaining(suspects, settings, CrashingRequest, now + seconds(4)));
+        CHECK_FALSE(quarantineRemaining(suspects, settings, 3, now + seconds(4)));
+    }
+
+    SECTION("regression: ends of one server soon after one another counted as one crash")
+    {
+        const CrashSuspectSettings settings;
+        CrashSuspects suspects;
+        const TimePoint now{seconds(1000)};
+        for (int crash = 0; crash < 4; ++crash) {
+            CHECK_FALSE(quarantineRemaining(suspects, settings, CrashingRequest, now + seconds(2 * crash)));
+            const Crash noticed = crashAt(ServerId("s"), now + seconds(2 * crash));
+            CHECK(recordCrash(suspects, settings, CrashingRequest, {HostId("h"), static_cast<std::uint64_t>(crash)}, noticed));
+        }
+        CHECK(quarantineRemaining(suspects, settings, CrashingRequest, now + seconds(6)));
+    }
+
+    SECTION("attempts that run on a server at the same time count as one crash")
+    {
+        const CrashSuspectSettings settings;
+        CrashSuspects suspects;
+        const TimePoint now{seconds(1000)};
+        for (std::uint64_t copy = 0; copy < 20; ++copy) {
+            CHECK(recordCrash(suspects, settings, CrashingRequest, {HostId("h"), copy}, crashAt(ServerId("s"), now + milliseconds(copy))) == (copy == 0));
+        }
+    }
+
+    SECTION("a response to a request that was running at the time of a crash disproves the crash")
+    {
+        const CrashSuspectSettings settings;
+        CrashSuspects suspects;
+        const TimePoint now{seconds(1000)};
+        recordCrashes(suspects, settings, CrashingRequest, 4, now);
+        recordResponse(suspects, settings, ServerId("s0"), now - seconds(1), now + milliseconds(50)); // It may have been sent before the crash.
+        CHECK(suspects.m_crashes.at(CrashingRequest).size() == 4);
+        recordResponse(suspects, settings, ServerId("s0"), now - seconds(1), now + milliseconds(200));
+        CHECK(suspects.m_crashes.at(CrashingRequest).size() == 3);
+    }
+
+    SECTION("regression: a request that had met two servers which reset connections was quarantined")
+    {
+        const CrashSuspectSettings settings;
+        CrashSuspects suspects;
+        const TimePoint now{seconds(1000)};
+        recordCrashes(suspects, settings, CrashingRequest, 2, now);
+        CHECK(quarantineRemaining(suspects, settings, CrashingRequest, now + seconds(1)));
+        recordResponse(suspects, settings, ServerId("s0"), now + milliseconds(300), now + milliseconds(500));
+        CHECK(quarantineVerdict(suspects, settings, CrashingRequest, now + seconds(1)) == QuarantineVerdict::TooFewCrashes);
+        CHECK(suspects.m_crashes.at(CrashingRequest).size() == 2);
+    }
+
+    SECTION("a response to a request that was sent after a server may have restarted changes nothing")
+    {
+        const CrashSuspectSettings settings;
+        CrashSuspects suspects;
+        const TimePoint now{seconds(1000)};
+        recordCrashes(suspects, settings, CrashingRequest, 2, now);
+        recordResponse(suspects, settings, ServerId("s0"), now + settings.m_minRestartTime, now + seconds(2));
+        CHECK(quarantineRemaining(suspects, settings, CrashingRequest, now + seconds(2)));
+    }
+
+    SECTION("a quarantined request is tried again, and refused for longer after five crashes")
+    {
+        const CrashSuspectSettings settings;
+        CrashSuspects suspects;
+        const TimePoint now{seconds(1000)};
+        recordCrashes(suspects, settings, CrashingRequest, 4, now);
+        CHECK(mustRunAlone(suspects, settings, CrashingRequest));
+        const TimePoint trialAt = now + seconds(3) + settings.m_trialDelay;
+        CHECK(quarantineRemaining(suspects, settings, CrashingRequest, trialAt - milliseconds(1)));
+        CHECK_FALSE(quarantineRemaining(suspects, settings, CrashingRequest, trialAt));
+        recordCrash(suspects, settings, CrashingRequest, {HostId("h"), 1}, crashAt(ServerId("s9"), trialAt));
+        CHECK(quarantineRemaining(suspects, settings, CrashingRequest, trialAt) == settings.m_quarantineDuration);
+    }
+
+    SECTION("the suspect with the fewest crashes makes room for a new one")
+    {
+        CrashSuspectSettings settings;
+        settings.m_maxSuspects = 3;
+        CrashSuspects suspects;
+        const TimePoint now{seconds(1000)};
+        recordCrashes(suspects, settings, CrashingRequest, 2, now);
+        for (int request = 0; request < 10; ++request) {
+            recordCrashes(suspects, settings, static_cast<Fingerprint>(request), 1, now + seconds(request));
+        }
+        CHECK(suspects.m_crashes.at(CrashingRequest).size() == 2);
+    }
+
     SECTION("crashes expire after the crash window")
     {
         const CrashSuspectSettings settings;
         CrashSuspects suspects;
         const TimePoint now{seconds(1000)};
-        recordCrash(suspects, settings, CrashingRequest, {HostId("h"), 1}, {ServerId("s"), now});
+        recordCrash(suspects, settings, CrashingRequest, {HostId("h"), 1}, crashAt(ServerId("s"), now));
         expireSuspects(suspects, settings, now + settings.m_crashWindow - seconds(1));
         CHECK(isSuspect(suspects, CrashingRequest));
         expireSuspects(suspects, settings, now + settings.m_crashWindow);
