Tell requests apart by their query when they crash servers

A request that crashes servers because of its query shared its fingerprint with every request to the same path, so each of their successes cleared it, and its quarantine refused them all. Cause: the fingerprint was taken of the path without the query. Evidence: the test counts two fingerprints for two queries; the old code gives one.

--- a/src/host/requests.cpp
+++ b/src/host/requests.cpp
@@ -40,13 +40,13 @@
     return route.m_shares.back().m_service;
 }
 
-/// Returns the fingerprint of a request: a hash of method, host, path, workspace and body. A repeated request has the
+/// Returns the fingerprint of a request: a hash of method, host, target, workspace and body. A repeated request has the
 /// same one, whoever sends it and through whichever host.
 std::uint64_t fingerprintOf(const RequestArrived &request, const WorkspaceId &workspace)
 {
     constexpr char Separator = '\n';
     const std::string identity =
-        request.m_method + Separator + request.m_metadata.m_host + Separator + request.m_metadata.m_path + Separator + workspace.text();
+        request.m_method + Separator + request.m_metadata.m_host + Separator + request.m_target + Separator + workspace.text();
     return hashOf(identity, request.m_bodyDigest);
 }
 
--- a/tests/host/crashes.cpp
+++ b/tests/host/crashes.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// Fleet of three hosts and four servers. A request to /crash breaks all attempts that run on its server after 3 ms; other requests take 100 ms.
+/// Fleet of three hosts and four servers. A request to /crash breaks all attempts that run on its server after 3 ms; one to /silent gets no response;
+/// other requests take 100 ms.
 struct CrashingFleet {
     explicit CrashingFleet(std::uint64_t seed) : m_simulation(seed)
     {
@@ -24,8 +25,15 @@
         const HostId host = attempt.m_host;
         const ServerId server = attempt.m_start.m_server;
         const Host::AttemptId id = attempt.m_start.m_attempt;
+        const std::string &target = m_simulation.m_requests.at(attempt.m_start.m_exchange).m_target;
+        if (target.starts_with("/silent")) {
+            ++m_crashCount;
+            return {Duration(0), std::nullopt};
+        }
         m_running[server].emplace(host, id);
-        if (m_simulation.m_requests.at(attempt.m_start.m_exchange).m_target == "/crash" && m_isCrashing) {
+        if (target == "/reset") {
+            m_simulation.at(milliseconds(3), [this, host, id] { m_simulation.deliver(host, Host::AttemptFailed{id, AttemptFailure::Broken, true}); });
+        } else if (target == "/crash" && m_isCrashing) {
             ++m_crashCount;
             m_simulation.at(milliseconds(3), [this, server] { crash(server); });
         } else {
@@ -111,6 +119,18 @@
         CHECK(fleet.m_crashCount == crashCount);
     }
 
+    SECTION("requests that differ in their query only are told apart")
+    {
+        simulation.request(HostId("h1"), "/silent?a=1", OwnKey, 7);
+        simulation.request(HostId("h1"), "/silent?a=2", OwnKey, 7);
+        simulation.run(milliseconds(100));
+        std::set<std::uint64_t> fingerprints;
+        for (const auto &[id, attempt] : simulation.state(HostId("h1")).m_attempts) {
+            fingerprints.insert(attempt.m_fingerprint);
+        }
+        CHECK(fingerprints.size() == 2);
+    }
+
     SECTION("the quarantine expires")
     {
         sendCrashingRequest("h1");
