Count servers that fall silent under a request as crashed

Cause: only a connection that broke before the response counted as a crash. A silent server ends the attempt by the deadline (abandoned, timed out), one that ends within its response cuts it short; neither was reported with the fingerprint. Change: the host reports the fingerprint with every end that a crash may explain: a broken connection, a response cut short, a time-out of the connection, and no response for three times the usual time (500 ms at least) when the request ends unanswered. A success carries the fingerprint too, so that hosts which did not grant the attempt clear the suspect as well.

--- a/include/ragwortrelay/detail/host/handlers.h
+++ b/include/ragwortrelay/detail/host/handlers.h
@@ -43,8 +43,18 @@
 /// Cancels an attempt that was left running if it hasn't ended yet.
 void onLeftRunning(State &state, AttemptId id, TimePoint now, Actions &actions);
 
+/// Result of an attempt.
+struct AttemptOutcome {
+    Scheduling::AttemptEnd m_end{};
+    bool m_mayHaveCrashed = false; ///< The server may have ended while it executed the request.
+    std::optional<Http::LoadReport> m_load; ///< Load that the server reported.
+};
+
 /// Reports the end of an attempt to the scheduler and forgets the attempt. Returns the attempt, or nothing when it is unknown.
-std::optional<Attempt> finishAttempt(State &state, AttemptId id, Scheduling::AttemptEnd end, const std::optional<Http::LoadReport> &load, TimePoint now);
+std::optional<Attempt> finishAttempt(State &state, AttemptId id, const AttemptOutcome &outcome, TimePoint now);
+
+/// Returns whether an attempt has been without a response for much longer than is usual for the service.
+bool isSilent(const State &state, const Attempt &attempt, TimePoint now);
 
 /// Processes the reply to a placement request.
 /// @param leader host that replied; empty when this host decided by itself
@@ -138,6 +148,9 @@
 /// Performs the periodic work of the fleet: heartbeats, store readers and shares of limits.
 void tickFleet(State &state, TimePoint now, Actions &actions);
 
+/// Logs the crashes that this host has recorded since the last call, and reports them to the leader or, as the leader, to its successors.
+void propagateNewCrashes(State &state, TimePoint now, Actions &actions);
+
 /// Sends the leader a heartbeat at once when this host has a fresher confirmation or can't read the store any more.
 void sendConfirmation(State &state, bool hasJustFailed, TimePoint now);
 
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -89,6 +89,7 @@
     std::optional<RetainedResponse> m_failedResponse; ///< Response by which a server reports a failure, kept while another server is tried.
     ClaimProgress m_claim = ClaimProgress::None;
     bool m_mayHaveRun = false;
+    bool m_isAnswered = false; ///< The response of a server is forwarded to the caller.
     bool m_hasHedged = false;
     bool m_isCallerGone = false; ///< The caller has disconnected; the request runs on to complete its claim.
 };
--- a/include/ragwortrelay/scheduling/placementrequest.h
+++ b/include/ragwortrelay/scheduling/placementrequest.h
@@ -120,7 +120,7 @@
     std::uint32_t m_running = 0; ///< Requests running at the server, as reported by it.
     std::uint32_t m_waiting = 0; ///< Requests waiting at the server, as reported by it.
     bool m_hasLoad = false; ///< Whether the server reported its load.
-    std::uint64_t m_fingerprint = 0; ///< Fingerprint of a request that may have crashed the server; otherwise 0.
+    std::uint64_t m_fingerprint = 0; ///< Fingerprint of a request that succeeded or that may have crashed the server; otherwise 0.
 
     friend bool operator==(const AttemptReport &, const AttemptReport &) = default;
 
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -67,6 +67,23 @@
     return AttemptEnd::Abandoned;
 }
 
+/// Tells whether the server may have ended while it executed the request of a failed attempt.
+bool mayHaveCrashed(const AttemptFailed &failure)
+{
+    switch (failure.m_failure) {
+    case AttemptFailure::Broken:
+    case AttemptFailure::Truncated:
+    case AttemptFailure::TimedOut:
+        return failure.m_sent;
+    case AttemptFailure::ConnectRefused:
+    case AttemptFailure::ConnectFailed:
+    case AttemptFailure::Cancelled:
+    case AttemptFailure::Malformed:
+        return false;
+    }
+    return false;
+}
+
 /// Tells whether one more attempt may be made.
 bool canRetry(const Exchange &exchange, const HostSettings &settings, TimePoint now)
 {
@@ -111,6 +128,7 @@
     if (exchange.m_failedResponse && exchange.m_failedResponse->m_attempt == attempt) {
         exchange.m_failedResponse.reset();
     }
+    exchange.m_isAnswered = true;
     settleForwardedResponse(state, id, exchange, response, now, actions);
     Reporting::count(state.m_counters, "requests_answered");
     log(actions,
@@ -252,7 +270,21 @@
 
 }
 
-std::optional<Attempt> finishAttempt(State &state, AttemptId id, AttemptEnd end, const std::optional<Http::LoadReport> &load, TimePoint now)
+bool isSilent(const State &state, const Attempt &attempt, TimePoint now)
+{
+    constexpr int SilenceFactor = 3; // Multiple of the usual time of the service.
+    constexpr Duration MinSilence = std::chrono::milliseconds(500);
+    const Scheduling::ServerRegistry &registry = state.m_scheduler.m_registry;
+    const auto server = registry.m_servers.find(attempt.m_server);
+    if (server == registry.m_servers.end() || attempt.m_isForwarded) {
+        return false;
+    }
+    const auto service = registry.m_services.find(server->second.m_server.m_service);
+    const Duration usual = service == registry.m_services.end() ? Duration(0) : service->second.m_usualTime;
+    return now - attempt.m_startedAt >= std::max(MinSilence, SilenceFactor * usual);
+}
+
+std::optional<Attempt> finishAttempt(State &state, AttemptId id, const AttemptOutcome &outcome, TimePoint now)
 {
     const auto found = state.m_attempts.find(id);
     if (found == state.m_attempts.end()) {
@@ -263,18 +295,18 @@
     Scheduling::AttemptReport report;
     report.m_number = attempt.m_placement;
     report.m_server = attempt.m_server;
-    report.m_end = end;
+    report.m_end = outcome.m_end;
     report.m_elapsed = now - attempt.m_startedAt;
-    if (end == AttemptEnd::Broken) {
+    if (outcome.m_mayHaveCrashed || outcome.m_end == AttemptEnd::Succeeded) {
         report.m_fingerprint = attempt.m_fingerprint;
     }
-    if (load) {
-        report.m_running = load->m_running;
-        report.m_waiting = load->m_waiting;
+    if (outcome.m_load) {
+        report.m_running = outcome.m_load->m_running;
+        report.m_waiting = outcome.m_load->m_waiting;
         report.m_hasLoad = true;
     }
     reportAttemptEnd(state, attempt.m_leader, report, now);
-    Reporting::count(state.m_counters, "attempts{end=\"" + Scheduling::toString(end) + "\"}");
+    Reporting::count(state.m_counters, "attempts{end=\"" + Scheduling::toString(outcome.m_end) + "\"}");
     return attempt;
 }
 
@@ -325,7 +357,7 @@
         onServerClosing(state, {server}, now);
     }
     if (response.m_isComplete || end != AttemptEnd::Succeeded) {
-        finishAttempt(state, response.m_attempt, end, response.m_metadata.m_loadReport, now);
+        finishAttempt(state, response.m_attempt, {end, false, response.m_metadata.m_loadReport}, now);
     } else {
         running->second.m_isForwarded = true;
         running->second.m_exchange = 0;
@@ -359,7 +391,7 @@
         return;
     }
     logAttemptEnd(state, running->second, end, now, actions);
-    const auto attempt = finishAttempt(state, failure.m_attempt, end, {}, now);
+    const auto attempt = finishAttempt(state, failure.m_attempt, {end, mayHaveCrashed(failure), {}}, now);
     const auto found = state.m_exchanges.find(attempt->m_exchange);
     if (found == state.m_exchanges.end()) {
         return;
@@ -383,7 +415,7 @@
 {
     const AttemptEnd failure = ended.m_callerAborted ? AttemptEnd::Abandoned : AttemptEnd::MalformedResponse;
     const AttemptEnd end = ended.m_isComplete ? AttemptEnd::Succeeded : failure;
-    const auto attempt = finishAttempt(state, ended.m_attempt, end, {}, now);
+    const auto attempt = finishAttempt(state, ended.m_attempt, {end, end == AttemptEnd::MalformedResponse, {}}, now);
     if (!attempt) {
         return;
     }
@@ -413,7 +445,11 @@
 
 void onLeftRunning(State &state, AttemptId id, TimePoint now, Actions &actions)
 {
-    const auto attempt = finishAttempt(state, id, AttemptEnd::TimedOut, {}, now);
+    const auto running = state.m_attempts.find(id);
+    if (running == state.m_attempts.end()) {
+        return;
+    }
+    const auto attempt = finishAttempt(state, id, {AttemptEnd::TimedOut, isSilent(state, running->second, now), {}}, now);
     if (attempt) {
         logAttemptEnd(state, *attempt, AttemptEnd::TimedOut, now, actions);
         actions.emplace_back(CancelAttempt{id, false});
--- a/src/host/requests.cpp
+++ b/src/host/requests.cpp
@@ -45,8 +45,7 @@
 std::uint64_t fingerprintOf(const RequestArrived &request, const WorkspaceId &workspace)
 {
     constexpr char Separator = '\n';
-    const std::string identity =
-        request.m_method + Separator + request.m_metadata.m_host + Separator + request.m_target + Separator + workspace.text();
+    const std::string identity = request.m_method + Separator + request.m_metadata.m_host + Separator + request.m_target + Separator + workspace.text();
     return hashOf(identity, request.m_bodyDigest);
 }
 
@@ -203,7 +202,8 @@
     }
     for (const AttemptId attempt : exchange.m_running) {
         if (exchange.m_route.m_idempotent) {
-            finishAttempt(state, attempt, Scheduling::AttemptEnd::Abandoned, {}, now);
+            const bool mayHaveCrashed = !exchange.m_isAnswered && isSilent(state, state.m_attempts.at(attempt), now);
+            finishAttempt(state, attempt, {Scheduling::AttemptEnd::Abandoned, mayHaveCrashed, {}}, now);
             actions.emplace_back(CancelAttempt{attempt, false});
         } else {
             leaveRunning(state, attempt, exchange.m_deadline, now, actions);
--- a/tests/host/crashes.cpp
+++ b/tests/host/crashes.cpp
@@ -119,6 +119,17 @@
         CHECK(fleet.m_crashCount == crashCount);
     }
 
+    SECTION("regression: a request whose servers fell silent was never quarantined")
+    {
+        for (int round = 0; round < 8; ++round) {
+            simulation.request(HostId(round % 2 == 0 ? "h1" : "h2"), "/silent", OwnKey, 7);
+            simulation.run(seconds(11));
+            simulation.request(HostId("h3"), "/page" + std::to_string(round), OwnKey);
+        }
+        CHECK(fleet.m_crashCount <= 6);
+        CHECK(simulation.countAnswers(0) >= 7);
+    }
+
     SECTION("requests that differ in their query only are told apart")
     {
         simulation.request(HostId("h1"), "/silent?a=1", OwnKey, 7);
@@ -131,6 +142,21 @@
         CHECK(fingerprints.size() == 2);
     }
 
+    SECTION("a request that meets resets of servers which serve others is not quarantined after two of them")
+    {
+        for (int i = 0; i < 60; ++i) {
+            simulation.request(HostId("h" + std::to_string(i % 3 + 1)), "/page" + std::to_string(i), OwnKey);
+            simulation.run(milliseconds(20));
+            if (i == 20) {
+                simulation.request(HostId("h1"), "/reset", OwnKey, 7);
+            }
+        }
+        const std::size_t attempts = simulation.m_receivedAttempts.size();
+        simulation.request(HostId("h2"), "/reset", OwnKey, 7);
+        simulation.run(milliseconds(2));
+        CHECK(simulation.m_receivedAttempts.size() > attempts);
+    }
+
     SECTION("the quarantine expires")
     {
         sendCrashingRequest("h1");
