Keep what is known about crashes when the leader is lost

What callers saw: a request that ends its servers was sent again after each loss of the leading host (8 and 10 servers ended, 6 allowed). Cause: crashes were known to the leader and, each its own, to the hosts that saw them. Neither told the next leader; a leader that had started again led at once with nothing; what hosts had decided without the leader never reached it. Change: - CrashReports, a new message: each host reports a crash to its leader as soon as it is recorded, the leader to the two hosts that lead next. A host repeats its latest crashes with its heartbeats, and reports all that it knows to a new process that leads. The leader's heartbeats bring the next two up to date; - a leader tells all followers at once when it quarantines a request, since a host that loses the leader decides by what it knows; - a host that has just started and ranks first asks three others after 100 ms who leads, not after a second; it decided by itself meanwhile; - what comes from a new process of a registered host is answered at the address that it came from, until its new record is read. A fleet of old and new hosts works on; an old one refuses datagrams with the new message, which exist only while servers crash.

--- a/include/ragwortrelay/fleet/leadership.h
+++ b/include/ragwortrelay/fleet/leadership.h
@@ -24,6 +24,7 @@
     Duration m_leaseDuration{std::chrono::milliseconds(2200)}; ///< Time for which a heartbeat leases the sender's share of all limits to its leader.
     Duration m_followerTimeout{std::chrono::milliseconds(3500)}; ///< Time without a heartbeat after which a leader removes a follower.
     Duration m_discoveryInterval{std::chrono::milliseconds(1000)}; ///< Interval between rounds in which a leader looks for other leaders.
+    Duration m_firstDiscoveryDelay{std::chrono::milliseconds(100)}; ///< Time after a start for which hosts that start together may register first.
     double m_retainedFraction = 0.5; ///< Fraction of its own share that a host uses or leases while an earlier leader may still use the share.
     std::size_t m_discoveryFanout = 3; ///< Hosts that a leader asks about other leaders in one round.
 
--- a/include/ragwortrelay/fleet/messages.h
+++ b/include/ragwortrelay/fleet/messages.h
@@ -2,6 +2,7 @@
 
 #include <ragwortrelay/core/identifier.h>
 #include <ragwortrelay/core/time.h>
+#include <ragwortrelay/dispatch/crashsuspects.h>
 #include <ragwortrelay/fleet/membership.h>
 #include <ragwortrelay/scheduling/placementrequest.h>
 
@@ -145,9 +146,49 @@
     }
 };
 
+/// Suspected crash of a server while it executed a request.
+struct CrashReport {
+    std::uint64_t m_fingerprint = 0; ///< Fingerprint of the request.
+    HostId m_host; ///< Host that made the attempt.
+    std::uint64_t m_number = 0; ///< Number of the placement; unique within the host's process.
+    ServerId m_server;
+    Dispatch::CrashSign m_sign{};
+    bool m_isDoubtful = false; ///< See Dispatch::Crash.
+    Duration m_age{}; ///< Time since the crash was noticed.
+    Duration m_elapsed{}; ///< Time from the start of the attempt until then.
+
+    friend bool operator==(const CrashReport &, const CrashReport &) = default;
+
+    /// Returns the fields in the order of the wire format.
+    static auto fields(auto &self)
+    {
+        return std::tie(self.m_fingerprint, self.m_host, self.m_number, self.m_server, self.m_sign, self.m_isDoubtful, self.m_age, self.m_elapsed);
+    }
+};
+
+/// Reports crashes: to the leader those that a host knows, to the possible successors of the leader those that the leader knows.
+struct CrashReports {
+    std::vector<CrashReport> m_reports;
+    bool m_isComplete = false; ///< From a leader: replaces all earlier reports.
+
+    friend bool operator==(const CrashReports &, const CrashReports &) = default;
+
+    /// Returns the fields in the order of the wire format.
+    static auto fields(auto &self)
+    {
+        return std::tie(self.m_reports, self.m_isComplete);
+    }
+};
+
 /// Any message between hosts. The position of an alternative is its number on the wire, so new alternatives are appended.
-using Message = std::
-    variant<Heartbeat, DeltaPart, Scheduling::PlacementRequest, PlacementQueued, Scheduling::PlacementReply, Scheduling::AttemptReport, PlacementCancelled>;
+using Message = std::variant<Heartbeat,
+                             DeltaPart,
+                             Scheduling::PlacementRequest,
+                             PlacementQueued,
+                             Scheduling::PlacementReply,
+                             Scheduling::AttemptReport,
+                             PlacementCancelled,
+                             CrashReports>;
 
 /// Messages that one host sends to another together.
 struct Datagram {
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -208,6 +208,15 @@
     std::set<Dispatch::Fingerprint> m_quarantinedRequests;
 };
 
+/// Crashes that hosts report to one another, so that they are known after a change of the leader.
+struct CrashReplication {
+    std::vector<Scheduling::RecordedCrash> m_replicated; ///< Crashes reported by the leader, which this host may succeed.
+    std::set<HostId> m_holders; ///< Hosts that hold a replica of the crashes that this host knows as the leader.
+    HostId m_leader; ///< Leader from which the last heartbeat came; empty while this host leads.
+    Fleet::Incarnation m_leaderIncarnation = 0; ///< Incarnation of its process.
+    TimePoint m_followedSince{}; ///< First heartbeat of that process.
+};
+
 /// State of one host.
 /// The present time and all input are passed to handle().
 struct State {
@@ -230,6 +239,7 @@
     bool m_hasHadQuorum = false; ///< This process has been in touch with most of the registered hosts.
     TimePoint m_seedsContactedAt{}; ///< Last heartbeat sent to the seeds.
     StoreReaders m_storeReaders;
+    CrashReplication m_crashReplication;
     std::string m_secret; ///< Secret of the fleet.
     Registration m_registration;
     std::optional<TimePoint> m_startedAt; ///< Time of the first event.
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -193,7 +193,11 @@
 {
     Membership members = membership;
     members.try_emplace(leadership.m_self);
+    const bool knewNoHosts = leadership.m_ranking.size() == 1;
     leadership.m_ranking = ranking(members);
+    if (knewNoHosts) { // This host has just started; another may lead although it ranks lower.
+        leadership.m_nextDiscoveryAt = std::min(leadership.m_nextDiscoveryAt, now + leadership.m_settings.m_firstDiscoveryDelay);
+    }
     for (auto &[host, follower] : leadership.m_followers) {
         follower.m_isRegistered = members.contains(host);
     }
--- a/src/host/fleet.cpp
+++ b/src/host/fleet.cpp
@@ -61,6 +61,8 @@
     return heartbeat;
 }
 
+}
+
 void sendHeartbeat(State &state, const Fleet::HeartbeatRequest &request, TimePoint now)
 {
     Heartbeat heartbeat = heartbeatFor(state, request, now);
@@ -79,8 +81,11 @@
         heartbeat.m_running = runningPlacements(state, request.m_host);
     }
     sendTo(state, request.m_host, std::move(heartbeat));
+    sendKnownCrashes(state, request.m_host, now);
 }
 
+namespace {
+
 void sendDelta(State &state, const HostId &host, TableKind kind, const Fleet::ReplicaPosition &theirs)
 {
     for (Fleet::DeltaPart &part : Fleet::deltaFor(tableOf(state, kind).m_replica, kind, theirs)) {
@@ -136,6 +141,7 @@
     if (state.m_leadership.m_leader != before && isLeading) {
         state.m_leadingSince = now;
         state.m_followerTables.clear();
+        adoptReplicatedCrashes(state);
     }
 }
 
@@ -194,6 +200,7 @@
     }
     compareTables(state, from, heartbeat);
     if (from == state.m_leadership.m_leader) {
+        onLeaderHeard(state, incarnation, now);
         applySuspicionReports(state, heartbeat, now);
         Scheduling::quarantineRequests(state.m_scheduler, heartbeat.m_quarantined, now);
         applyRollout(state, heartbeat);
@@ -240,6 +247,8 @@
                 onPlacementReply(state, from, alternative, now, actions);
             } else if constexpr (std::is_same_v<Type, Scheduling::AttemptReport>) {
                 onAttemptReport(state, from, alternative, now);
+            } else if constexpr (std::is_same_v<Type, Fleet::CrashReports>) {
+                onCrashReports(state, from, alternative, now);
             } else {
                 onPlacementCancelled(state, from, alternative, now);
             }
@@ -264,11 +273,12 @@
 
 void onPeerDatagram(State &state, const PeerDatagramReceived &received, TimePoint now, Actions &actions)
 {
-    const auto record = state.m_membership.find(received.m_datagram.m_from);
-    if (record == state.m_membership.end()) {
-        // Replies to a host that isn't registered yet go to the address that it sends from.
-        const HostId &from = received.m_datagram.m_from;
-        state.m_membership.emplace(from, Fleet::HostRecord{from, received.m_address, {}, received.m_datagram.m_incarnation, 0.0});
+    const HostId &from = received.m_datagram.m_from;
+    const Fleet::Incarnation incarnation = received.m_datagram.m_incarnation;
+    const auto [record, isNew] = state.m_membership.try_emplace(from, Fleet::HostRecord{from, received.m_address, {}, incarnation, 0.0});
+    if (!isNew && record->second.m_incarnation != incarnation) { // It has started again, and its new record hasn't been read yet.
+        record->second.m_address = received.m_address;
+        record->second.m_incarnation = incarnation;
     }
     for (const Message &message : received.m_datagram.m_messages) {
         onMessage(state, received.m_datagram, message, now, actions);
--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -175,6 +175,7 @@
     detail::performClaimDecisions(state, now, actions);
     detail::storeLevels(state, now, actions);
     detail::setReadiness(state, detail::mayServeWorkspaces(state, now) && !state.m_stopRequestedAt, now, actions);
+    detail::propagateNewCrashes(state, now, actions);
     detail::logStateChanges(state, now, actions);
     detail::stopWhenIdle(state, now, actions);
     detail::flushOutbox(state, actions);
--- a/src/host/statelog.cpp
+++ b/src/host/statelog.cpp
@@ -60,26 +60,6 @@
     }
 }
 
-/// Logs the crashes that were recorded since the last call, with the verdict on each request.
-void logNewCrashes(State &state, TimePoint now, Actions &actions)
-{
-    const Dispatch::CrashSuspects &suspects = state.m_scheduler.m_suspects;
-    for (const Scheduling::RecordedCrash &crash : Scheduling::takeNewCrashes(state.m_scheduler)) {
-        const auto crashes = suspects.m_crashes.find(crash.m_fingerprint);
-        const auto verdict = Dispatch::quarantineVerdict(suspects, state.m_settings.m_scheduling.m_suspects, crash.m_fingerprint, now);
-        log(actions,
-            LogLine("crash-recorded")
-                .with("fingerprint", std::to_string(crash.m_fingerprint))
-                .with("server", crash.m_crash.m_server.text())
-                .with("by", crash.m_id.first.text())
-                .with("placement", static_cast<std::int64_t>(crash.m_id.second))
-                .with("crashes", crashes == suspects.m_crashes.end() ? 0 : static_cast<std::int64_t>(crashes->second.size()))
-                .with("suspects", static_cast<std::int64_t>(suspects.m_crashes.size()))
-                .with("candidates", static_cast<std::int64_t>(suspects.m_candidates.size()))
-                .with("verdict", Dispatch::toString(verdict)));
-    }
-}
-
 /// Logs the requests that have been quarantined since the last check.
 void logQuarantinedRequests(State &state, TimePoint now, Actions &actions)
 {
@@ -101,7 +81,6 @@
 
 void logStateChanges(State &state, TimePoint now, Actions &actions)
 {
-    logNewCrashes(state, now, actions);
     if (now - state.m_logged.m_at < CheckInterval) {
         return;
     }
--- a/tests/host/crashes.cpp
+++ b/tests/host/crashes.cpp
@@ -119,6 +119,21 @@
         CHECK(fleet.m_crashCount == crashCount);
     }
 
+    SECTION("regression: a new leader did not know the crashes that the killed one had seen")
+    {
+        for (int round = 0; round < 8; ++round) {
+            const HostId leader = simulation.leader();
+            REQUIRE_FALSE(leader.isEmpty());
+            simulation.request(leader, "/crash", OwnKey, 7);
+            simulation.run(milliseconds(8));
+            simulation.kill(leader);
+            simulation.start(leader.text(), "d" + std::to_string((leader.text().back() - '0') % 3));
+            simulation.run(seconds(2));
+        }
+        CHECK(fleet.m_crashCount <= 6);
+        CHECK(fleet.isQuarantined(sendCrashingRequest("h1")));
+    }
+
     SECTION("regression: a request whose servers fell silent was never quarantined")
     {
         for (int round = 0; round < 8; ++round) {
