Take no repeated refusal for the response to the next request

What callers saw: a server that writes a refusal once more when the next request arrives on the connection had bookings run twice (the host sent them to a second server) and callers told 'not run' for bookings that ran. Cause: a kept connection was used again after a refusal, and nothing but its place tells which request a response belongs to on the product's own interface. On the platform the attempt id tells it, but a refusal without any id was believed. Change: a connection that has carried a refusal isn't used again when requests have no attempt id; where they have one, a refusal must carry it, as a success had to already, else the outcome is unknown. That check is made when the head is there, so a long response doesn't escape it. Remains: on the own interface a success or a failure that a server writes twice can't be told from the next one's, for want of an id.

--- a/include/ragwortrelay/loop/backendpool.h
+++ b/include/ragwortrelay/loop/backendpool.h
@@ -86,7 +86,8 @@
     bool processHead(Host::AttemptId id, Attempt &attempt);
     void onResponseComplete(Host::AttemptId id);
     void onResponseFailed(Host::AttemptId id);
-    void releaseConnection(const ServerId &server, const std::shared_ptr<ClientConnection> &connection, const Http::ResponseHead &head);
+    /// Keeps the connection of a complete response for other requests, or closes it.
+    void releaseConnection(const Attempt &attempt);
     void enforceIdleLimit();
     void reportResponse(Host::AttemptId id, const Attempt &attempt, bool isWhole);
 
--- a/src/loop/backendpool.cpp
+++ b/src/loop/backendpool.cpp
@@ -11,6 +11,12 @@
 
 constexpr std::uint16_t FirstFailureStatus = 400;
 
+/// Tells whether a response needs the id of its attempt and has none. Without it, the response may belong to an earlier request.
+bool lacksAttemptId(const std::string &expectedId, const Http::ResponseHead &head, const Http::ResponseMetadata &metadata)
+{
+    return !expectedId.empty() && metadata.m_attemptId.empty() && (head.m_status < FirstFailureStatus || metadata.m_notRun);
+}
+
 /// Returns the idle timeout that a server announces in its `Keep-Alive` header, or nothing.
 std::optional<Duration> announcedIdleTimeout(const Http::Headers &headers)
 {
@@ -180,6 +186,12 @@
         attempt.m_connection->skipResponse();
         return false;
     }
+    if (lacksAttemptId(attempt.m_attemptId, head, attempt.m_metadata)) {
+        attempt.m_connection->close();
+        m_attempts.erase(id);
+        m_handler(Host::AttemptFailed{id, Dispatch::AttemptFailure::Malformed, true});
+        return false;
+    }
     attempt.m_hasHead = true;
     attempt.m_stream->m_head = head;
     attempt.m_stream->m_head.m_headers = Http::headersForCaller(m_headerScheme, head);
@@ -226,17 +238,13 @@
     const Attempt attempt = std::move(found->second);
     m_attempts.erase(found);
     attempt.m_stream->m_state = BodyState::Whole;
-    releaseConnection(attempt.m_server, attempt.m_connection, attempt.m_connection->reader().head());
+    releaseConnection(attempt);
     if (attempt.m_isReported) {
         if (attempt.m_stream->m_onDataAvailable) {
             attempt.m_stream->m_onDataAvailable();
         }
         return m_handler(Host::AttemptEnded{id, true});
     }
-    if (!attempt.m_attemptId.empty() && attempt.m_metadata.m_attemptId.empty() && attempt.m_stream->m_head.m_status < FirstFailureStatus) {
-        // Without an echoed id, the response may belong to another request.
-        return m_handler(Host::AttemptFailed{id, Dispatch::AttemptFailure::Malformed, true});
-    }
     if (attempt.m_isWanted) {
         m_responses.emplace(id, attempt.m_stream);
     }
@@ -271,13 +279,17 @@
     m_handler(Host::AttemptResponded{id, stream.m_head.m_status, attempt.m_metadata, isWhole, std::move(stored)});
 }
 
-void BackendPool::releaseConnection(const ServerId &server, const std::shared_ptr<ClientConnection> &connection, const Http::ResponseHead &head)
+void BackendPool::releaseConnection(const Attempt &attempt)
 {
-    if (!connection->isReusable()) {
+    const ServerId &server = attempt.m_server;
+    const std::shared_ptr<ClientConnection> &connection = attempt.m_connection;
+    // A server may repeat a refusal; without an attempt id, it would pass for the response to the next request.
+    const bool mayBeRepeated = attempt.m_metadata.m_notRun && attempt.m_attemptId.empty();
+    if (mayBeRepeated || !connection->isReusable()) {
         connection->close();
         return;
     }
-    const auto announced = announcedIdleTimeout(head.m_headers);
+    const auto announced = announcedIdleTimeout(connection->reader().head().m_headers);
     const Duration maxIdleTime = announced ? *announced - m_settings.m_idleTimeoutMargin : m_settings.m_defaultIdleTimeout;
     const TimePoint now = currentTime();
     const ClientConnection *key = connection.get();
