End responses that have no end

What callers saw: a server that writes a body without end (chunks, no length, of a failure too) was served on until the caller left, two minutes at most, with a slot held at the server. A chunk extension or a trailer without end filled the host's memory until the deadline. Cause: once the beginning of a response went out, the request's deadline no longer applied; a line of a chunk that isn't complete was kept whole. Change: a response of unknown length that is passed on while it comes is broken off at the request's deadline, so that the caller sees that it is incomplete; at most 32 KiB are kept of a chunk line or a trailer, of servers and, beyond the header limit, of callers. Evidence: tests/processes/test_faulty_responses.py, EndlessResponse: head, interim responses, garbage, body, chunks, extension, trailer, failure, each for a request that may be repeated and one that may not.

--- a/include/ragwortrelay/loop/backendpool.h
+++ b/include/ragwortrelay/loop/backendpool.h
@@ -67,6 +67,8 @@
         std::shared_ptr<ClientConnection> m_connection;
         std::shared_ptr<ResponseStream> m_stream;
         Http::ResponseMetadata m_metadata;
+        TimePoint m_deadline; ///< Deadline of the request.
+        std::shared_ptr<asio::steady_timer> m_deadlineTimer; ///< Ends a streamed response; null for one that ends by itself.
         bool m_hasHead = false;
         bool m_isReported = false; ///< The response was reported before it was complete.
         bool m_isWanted = true; ///< The attempt was not cancelled.
@@ -86,6 +88,9 @@
     bool processHead(Host::AttemptId id, Attempt &attempt);
     void onResponseComplete(Host::AttemptId id);
     void onResponseFailed(Host::AttemptId id);
+    /// Ends a response of unknown length at the deadline of its request, as it may have no end.
+    void limitDuration(Host::AttemptId id, Attempt &attempt);
+
     /// Keeps the connection of a complete response for other requests, or closes it.
     void releaseConnection(const Attempt &attempt);
     void enforceIdleLimit();
--- a/include/ragwortrelay/loop/clientconnection.h
+++ b/include/ragwortrelay/loop/clientconnection.h
@@ -88,6 +88,7 @@
     void notify(ResponseEvent event);
 
     static constexpr std::size_t ReadSize = 4096; // bytes
+    static constexpr std::size_t MaxUnparsedBytes = 32U << 10U; // Bound on a line of a chunk, or on a trailer.
 
     asio::io_context &m_context;
     Stream m_stream;
--- a/src/loop/backendpool.cpp
+++ b/src/loop/backendpool.cpp
@@ -65,6 +65,7 @@
     attempt.m_hasIdempotencyKey = !request.m_metadata.m_idempotencyKey.empty();
     attempt.m_stream = std::make_shared<ResponseStream>();
     attempt.m_connection = takeIdleConnection(action.m_server, action.m_use, now);
+    attempt.m_deadline = now + action.m_timeLeft;
     const bool isNew = attempt.m_connection == nullptr;
     if (isNew) {
         attempt.m_connection = std::make_shared<ClientConnection>(m_context, m_tls, m_settings.m_tcpTimeouts);
@@ -222,6 +223,7 @@
     }
     if (!attempt.m_isReported) {
         attempt.m_isReported = true;
+        limitDuration(id, attempt);
         return reportResponse(id, attempt, false);
     }
     if (stream.m_onDataAvailable) {
@@ -229,6 +231,21 @@
     }
 }
 
+void BackendPool::limitDuration(Host::AttemptId id, Attempt &attempt)
+{
+    if (attempt.m_stream->m_head.m_contentLength) {
+        return;
+    }
+    attempt.m_deadlineTimer = std::make_shared<asio::steady_timer>(m_context, std::max(Duration(0), attempt.m_deadline - currentTime()));
+    attempt.m_deadlineTimer->async_wait([this, id](const ErrorCode &error) {
+        const auto found = m_attempts.find(id);
+        if (!error && found != m_attempts.end()) {
+            found->second.m_connection->close();
+            onResponseFailed(id);
+        }
+    });
+}
+
 void BackendPool::onResponseComplete(Host::AttemptId id)
 {
     const auto found = m_attempts.find(id);
--- a/src/loop/callerconnection.cpp
+++ b/src/loop/callerconnection.cpp
@@ -84,6 +84,9 @@
     if (m_reader->state() == ReadState::Refused) {
         return rejectUnreadRequest(m_reader->refusal());
     }
+    if (m_input.size() > m_listener.m_settings.m_limits.m_maxHeaderBytes + ReadBufferSize && m_reader->state() != ReadState::Complete) {
+        return rejectUnreadRequest({Http::Status::BadRequest, ErrorId::RequestMalformed, "the request has a chunk line or a trailer that is too long"});
+    }
     if (m_listener.m_totalBufferedBytes > m_listener.m_settings.m_maxBufferedBytes) {
         return rejectUnreadRequest({Http::Status::ServiceUnavailable, ErrorId::RequestOverload, "the host holds too many bodies"});
     }
--- a/src/loop/clientconnection.cpp
+++ b/src/loop/clientconnection.cpp
@@ -163,6 +163,9 @@
             notify(ResponseEvent::Progress);
         }
         if (used == 0) {
+            if (m_unparsed.size() > MaxUnparsedBytes) {
+                return fail(AttemptFailure::Malformed);
+            }
             return;
         }
     }
