Use no entry with an address or a number that is out of range

What callers saw: nothing was served any more: a host record whose address can't be parsed ended each host that read it, again after each start. A server of the operators' table with the port 99999 was connected to at port 34463; one with the port missing would end its host. Cause: addresses were parsed where they are used, with functions that throw or wrap round, and only settings and the platform's servers were checked where they are read. Tests: the simulation gives hosts addresses of the real form, since names no longer pass; two tests of the table likewise. Very deep nesting ended no host before either.

--- a/src/configuration/catalogue.cpp
+++ b/src/configuration/catalogue.cpp
@@ -1,4 +1,5 @@
 #include <ragwortrelay/configuration/catalogue.h>
+#include <ragwortrelay/core/address.h>
 #include <ragwortrelay/core/editdistance.h>
 
 #include <algorithm>
@@ -34,6 +35,15 @@
         return value;
     }
 
+    [[nodiscard]] std::string address(const std::string &column)
+    {
+        std::string value = required(column);
+        if (!value.empty() && !isRemoteAddress(value)) {
+            report(column, "'" + value + "' is not of the form IP:PORT");
+        }
+        return value;
+    }
+
     [[nodiscard]] double number(const std::string &column, double fallback, double minimum, double maximum)
     {
         const std::string value = text(column);
@@ -132,7 +142,7 @@
     Server server;
     server.m_id = ServerId(row.m_key.m_name);
     server.m_service = ServiceId(cells.required("service"));
-    server.m_address = cells.required("address");
+    server.m_address = cells.address("address");
     server.m_domain = FailureDomainId(cells.required("domain"));
     server.m_weight = cells.number("weight", 1.0, 0.0, MaxWeight);
     server.m_slots = static_cast<std::uint32_t>(cells.number("slots", 1.0, 1.0, MaxSlots));
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -1,9 +1,11 @@
+#include <ragwortrelay/core/address.h>
 #include <ragwortrelay/core/hash.h>
 #include <ragwortrelay/fleet/membership.h>
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace RagwortRelay::Fleet {
 
@@ -21,7 +23,13 @@
         HostRecord record;
         record.m_host = host;
         record.m_address = json.at("address").get<std::string>();
+        if (!isRemoteAddress(record.m_address)) {
+            throw std::invalid_argument("'" + record.m_address + "' is not of the form IP:PORT");
+        }
         record.m_domain = FailureDomainId(json.at("domain").get<std::string>());
+        if (!json.at("incarnation").is_number_unsigned()) {
+            throw std::invalid_argument("the incarnation is not a whole number");
+        }
         record.m_incarnation = json.at("incarnation").get<Incarnation>();
         record.m_capacity = json.at("capacity").get<double>();
         return record;
--- a/src/settings/yamlreader.cpp
+++ b/src/settings/yamlreader.cpp
@@ -1,8 +1,8 @@
+#include <ragwortrelay/core/address.h>
 #include <ragwortrelay/core/editdistance.h>
 #include <ragwortrelay/detail/settings/yamlreader.h>
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -36,29 +36,6 @@
     return {text.data(), end};
 }
 
-/// Returns whether a text is a decimal port number; 0 is included.
-bool isPort(const std::string &text)
-{
-    unsigned port = 0;
-    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), port);
-    return code == std::errc() && end == text.data() + text.size() && port <= 65535;
-}
-
-/// Returns whether a text has the form `IP:PORT`, with an IPv6 address in square brackets.
-bool isAddress(const std::string &text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos || !isPort(text.substr(colon + 1))) {
-        return false;
-    }
-    const std::string ip = text.substr(0, colon);
-    std::array<unsigned char, sizeof(in6_addr)> buffer{};
-    if (ip.starts_with('[') && ip.ends_with(']')) {
-        return inet_pton(AF_INET6, ip.substr(1, ip.size() - 2).c_str(), buffer.data()) == 1;
-    }
-    return inet_pton(AF_INET, ip.c_str(), buffer.data()) == 1;
-}
-
 }
 
 YamlReader::YamlReader(const YAML::Node &node, std::string fileName, std::string path, Findings &findings)
--- a/tests/configuration/edit.cpp
+++ b/tests/configuration/edit.cpp
@@ -60,7 +60,7 @@
     {
         const EditTable edit{"c",
                              "o",
-                             {{{RowKind::Server, "b2"}, 0, {{"service", "bokking"}, {"address", "a"}, {"domain", "d"}}, false},
+                             {{{RowKind::Server, "b2"}, 0, {{"service", "bokking"}, {"address", "127.0.0.1:2"}, {"domain", "d"}}, false},
                               {{RowKind::Route, "r"}, 0, {{"path", "/"}, {"service", "gone"}, {"deadline_ms", "-1"}}, false}}};
         const auto ids = idsOf(checkChange(table, {}, changeOf(edit, 6)));
         CHECK(std::count(ids.begin(), ids.end(), ErrorId::TableBrokenReference) == 2);
--- a/tests/configuration/tablefile.cpp
+++ b/tests/configuration/tablefile.cpp
@@ -95,7 +95,7 @@
             const auto text = *rc::gen::nonEmpty(rc::gen::container<std::string>(character));
             Table table;
             const RowKey key{RowKind::Server, "n" + text};
-            table.m_rows[key] = {key, 3, {{"service", text}, {"address", "a" + text}, {"domain", "d"}}, false};
+            table.m_rows[key] = {key, 3, {{"service", text}, {"address", "127.0.0.1:1"}, {"domain", "a" + text}}, false};
             const auto file = readTableFile(writeTableFile(table), "t.csv");
             RC_ASSERT(file.has_value());
             RC_ASSERT(file->m_rows.size() == 1U);
--- a/tests/fakes/fleetsimulation.h
+++ b/tests/fakes/fleetsimulation.h
@@ -67,6 +67,19 @@
         return Host::AttemptFailed{attempt, failure, sent};
     }
 
+    /// Returns the address of a host, which stays the same through restarts.
+    std::string addressOf(const std::string &name)
+    {
+        for (const auto &[address, host] : m_addresses) {
+            if (host.text() == name) {
+                return address;
+            }
+        }
+        const std::string address = "127.0.0.1:" + std::to_string(m_addresses.size() + 1);
+        m_addresses.emplace(address, HostId(name));
+        return address;
+    }
+
     /// Starts a host, or restarts it as a new incarnation.
     void start(const std::string &name, const std::string &domain)
     {
@@ -74,7 +87,7 @@
         Host::HostSettings settings;
         settings.m_host = id;
         settings.m_domain = FailureDomainId(domain);
-        settings.m_peerAddress = name; // The simulation uses names as addresses.
+        settings.m_peerAddress = addressOf(name);
         m_configure(settings);
         ++m_incarnations[id];
         m_hosts.insert_or_assign(id, Host::makeState(settings, m_source, m_random(), m_random()));
@@ -321,12 +334,12 @@
 
     void perform(const HostId &host, const Host::SendDatagram &message)
     {
-        const HostId to(message.m_address);
+        const HostId to = m_addresses.contains(message.m_address) ? m_addresses.at(message.m_address) : HostId();
         ++m_datagrams[{host, to}];
         if (m_partitions.contains({host, to}) || randomUnit(m_random) < m_lossChance) {
             return;
         }
-        deliverLater(to, m_peerDelay, Host::PeerDatagramReceived{host.text(), message.m_datagram});
+        deliverLater(to, m_peerDelay, Host::PeerDatagramReceived{addressOf(host.text()), message.m_datagram});
     }
 
     void perform(const HostId &host, const Host::SetReadiness &readiness)
@@ -349,6 +362,7 @@
     }
 
     std::multimap<TimePoint, std::function<void()>> m_queue;
+    std::map<std::string, HostId> m_addresses;
     std::map<HostId, int> m_incarnations;
     std::map<HostId, TimePoint> m_nextTimerAt;
     Host::ExchangeId m_lastExchange = 0;
--- a/tests/host/owntable.cpp
+++ b/tests/host/owntable.cpp
@@ -172,8 +172,8 @@
     {
         setStoreMode(simulation, StoreMode::Silent);
         simulation.run(seconds(20));
-        simulation.m_configure = [](Host::HostSettings &settings) {
-            settings.m_seeds = {"h1", "h2"};
+        simulation.m_configure = [&simulation](Host::HostSettings &settings) {
+            settings.m_seeds = {simulation.addressOf("h1"), simulation.addressOf("h2")};
             settings.m_secret = "secret of the fleet";
         };
         const HostId newHost("h9");
