Notice silent servers while their attempts still run

What callers saw: found by the new test before any caller did: a request whose servers fall silent, with a route's deadline of 10 s, was sent every half second for ten seconds before the first attempt ended and counted. Cause: silence counted only at the end of an attempt, that is at the deadline. Change: an attempt without a response after three times the usual time (500 ms at least) is recorded and reported while it runs; a response clears the request as before.

--- a/include/ragwortrelay/detail/host/handlers.h
+++ b/include/ragwortrelay/detail/host/handlers.h
@@ -53,6 +53,9 @@
 /// Reports the end of an attempt to the scheduler and forgets the attempt. Returns the attempt, or nothing when it is unknown.
 std::optional<Attempt> finishAttempt(State &state, AttemptId id, const AttemptOutcome &outcome, TimePoint now);
 
+/// Records that the server of an attempt may have ended, if the attempt still has no response.
+void onSilenceDue(State &state, AttemptId id, TimePoint now);
+
 /// Returns whether an attempt has been without a response for much longer than is usual for the service.
 bool isSilent(const State &state, const Attempt &attempt, TimePoint now);
 
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -99,6 +99,7 @@
     Deadline, ///< Deadline of an exchange.
     Hedge, ///< Hedged attempt of an exchange.
     PlacementRequest, ///< Placement request without a reply of the leader.
+    Silence, ///< Time after which an attempt without a response counts as a sign that its server has ended.
     LeftRunning, ///< End of the time that an attempt nobody waits for may run.
 };
 
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -194,6 +194,20 @@
     return std::nullopt;
 }
 
+/// Returns the time without a response after which a server may have ended.
+Duration silenceTimeout(const State &state, const ServerId &id)
+{
+    constexpr int SilenceFactor = 3; // Multiple of the usual time of the service.
+    constexpr Duration MinTimeout = std::chrono::milliseconds(500);
+    const Scheduling::ServerRegistry &registry = state.m_scheduler.m_registry;
+    const auto server = registry.m_servers.find(id);
+    if (server == registry.m_servers.end()) {
+        return MinTimeout;
+    }
+    const auto service = registry.m_services.find(server->second.m_server.m_service);
+    return service == registry.m_services.end() ? MinTimeout : std::max(MinTimeout, SilenceFactor * service->second.m_usualTime);
+}
+
 /// Schedules a hedge, a second attempt, for an idempotent request in case that the first attempt is slow.
 void scheduleHedge(State &state, ExchangeId id, Exchange &exchange, TimePoint now)
 {
@@ -238,6 +252,7 @@
     const AttemptId attempt = ++state.m_lastAttempt;
     state.m_attempts.emplace(attempt, Attempt{id, granted.m_number, leader, server, now, exchange.m_fingerprint});
     exchange.m_running.insert(attempt);
+    state.m_timers.emplace(now + silenceTimeout(state, server), Timer{TimerKind::Silence, attempt});
     scheduleHedge(state, id, exchange, now);
     ++exchange.m_sent;
     log(actions,
@@ -272,16 +287,18 @@
 
 bool isSilent(const State &state, const Attempt &attempt, TimePoint now)
 {
-    constexpr int SilenceFactor = 3; // Multiple of the usual time of the service.
-    constexpr Duration MinSilence = std::chrono::milliseconds(500);
-    const Scheduling::ServerRegistry &registry = state.m_scheduler.m_registry;
-    const auto server = registry.m_servers.find(attempt.m_server);
-    if (server == registry.m_servers.end() || attempt.m_isForwarded) {
-        return false;
+    return !attempt.m_isForwarded && now - attempt.m_startedAt >= silenceTimeout(state, attempt.m_server);
+}
+
+void onSilenceDue(State &state, AttemptId id, TimePoint now)
+{
+    const auto found = state.m_attempts.find(id);
+    if (found == state.m_attempts.end() || found->second.m_isForwarded) {
+        return;
     }
-    const auto service = registry.m_services.find(server->second.m_server.m_service);
-    const Duration usual = service == registry.m_services.end() ? Duration(0) : service->second.m_usualTime;
-    return now - attempt.m_startedAt >= std::max(MinSilence, SilenceFactor * usual);
+    const Attempt &attempt = found->second;
+    const Dispatch::Crash crash{attempt.m_server, now, attempt.m_startedAt, Dispatch::CrashSign::NoResponse, false};
+    Scheduling::recordCrash(state.m_scheduler, {attempt.m_fingerprint, {state.m_settings.m_host, attempt.m_placement}, crash});
 }
 
 std::optional<Attempt> finishAttempt(State &state, AttemptId id, const AttemptOutcome &outcome, TimePoint now)
--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -84,6 +84,9 @@
         case TimerKind::PlacementRequest:
             onPlacementDue(state, due.m_subject, now, actions);
             break;
+        case TimerKind::Silence:
+            onSilenceDue(state, due.m_subject, now);
+            break;
         case TimerKind::LeftRunning:
             onLeftRunning(state, due.m_subject, now, actions);
             break;
--- a/tests/host/crashes.cpp
+++ b/tests/host/crashes.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdlib>
+#include <string>
+
 using namespace RagwortRelay;
 using namespace RagwortRelay::Fakes;
 using Dispatch::AttemptFailure;
@@ -10,13 +13,13 @@
 
 namespace {
 
-/// Fleet of three hosts and four servers. A request to /crash breaks all attempts that run on its server after 3 ms; one to /silent gets no response;
-/// other requests take 100 ms.
+/// Fleet of hosts and servers, three and four unless told otherwise. A request to /crash breaks all attempts that run on its server after 3 ms; one to /silent
+/// gets no response; other requests take 100 ms.
 struct CrashingFleet {
-    explicit CrashingFleet(std::uint64_t seed) : m_simulation(seed)
+    explicit CrashingFleet(std::uint64_t seed, int hosts = 3, int servers = 4) : m_simulation(seed)
     {
         m_simulation.m_server = [this](const ServedAttempt &attempt) { return serve(attempt); };
-        startOperatorTableFleet(m_simulation, 3, 4);
+        startOperatorTableFleet(m_simulation, hosts, servers);
     }
 
     /// Starts an attempt on its server; it ends later, by crash() or respond().
@@ -31,7 +34,7 @@
             return {Duration(0), std::nullopt};
         }
         m_running[server].emplace(host, id);
-        if (target == "/reset") {
+        if (target.starts_with("/reset")) {
             m_simulation.at(milliseconds(3), [this, host, id] { m_simulation.deliver(host, Host::AttemptFailed{id, AttemptFailure::Broken, true}); });
         } else if (target == "/crash" && m_isCrashing) {
             ++m_crashCount;
@@ -184,3 +187,133 @@
         CHECK(simulation.m_responses.at(sendCrashingRequest("h3")).m_isForwarded);
     }
 }
+
+namespace {
+
+/// Sends one request that crashes or silences its servers again and again, beside other requests, resets, losses of hosts and partitions.
+class RandomFaults
+{
+public:
+    explicit RandomFaults(std::uint64_t seed) : m_random(seed), m_fleet(seed, Hosts, Servers), m_path(seed % 2 == 0 ? "/crash" : "/silent")
+    {
+        m_fleet.m_simulation.m_lossChance = 0.02;
+    }
+
+    void run()
+    {
+        for (int step = 0; step < Steps; ++step) {
+            sendRequests(step);
+            if (randomUnit(m_random) < 0.06) {
+                restart(randomUnit(m_random) < 0.5 ? m_fleet.m_simulation.leader() : randomHost());
+            }
+            if (randomUnit(m_random) < 0.06) {
+                partition(randomHost());
+            }
+            m_fleet.m_simulation.run(StepDuration);
+        }
+    }
+
+    /// Returns the attempts of the request that the users count: later than the time to settle after the third one, from hosts without a fault in that time.
+    [[nodiscard]] int lateAttempts() const
+    {
+        int count = 0;
+        int late = 0;
+        TimePoint thirdAt{};
+        for (const ServedAttempt &attempt : m_fleet.m_simulation.m_receivedAttempts) {
+            if (m_fleet.m_simulation.m_requests.at(attempt.m_start.m_exchange).m_target != m_path) {
+                continue;
+            }
+            thirdAt = ++count == CountedCrashes ? attempt.m_at : thirdAt;
+            const auto fault = m_lastFaults.lower_bound({attempt.m_host, attempt.m_at - SettlingTime}); // The first fault in that time or later.
+            const bool isSettled = fault == m_lastFaults.end() || fault->first != attempt.m_host || fault->second > attempt.m_at;
+            late += count > CountedCrashes && attempt.m_at > thirdAt + SettlingTime && isSettled ? 1 : 0;
+        }
+        return late;
+    }
+
+private:
+    static constexpr int Hosts = 5;
+    static constexpr int Servers = 8;
+    static constexpr int Steps = 150;
+    static constexpr int CountedCrashes = 3;
+    static constexpr Duration StepDuration = milliseconds(300);
+    static constexpr Duration SettlingTime = seconds(3);
+
+    HostId randomHost()
+    {
+        return HostId("h" + std::to_string(randomBelow(m_random, Hosts) + 1));
+    }
+
+    void sendRequests(int step)
+    {
+        FleetSimulation &simulation = m_fleet.m_simulation;
+        const auto send = [&](const std::string &path) {
+            const HostId host = randomHost();
+            if (simulation.m_hosts.contains(host)) {
+                simulation.request(host, path, OwnKey, 7);
+            }
+        };
+        send("/page" + std::to_string(step));
+        if (randomUnit(m_random) < 0.7) {
+            send(m_path);
+        }
+        if (randomUnit(m_random) < 0.3) {
+            send("/reset" + std::to_string(step));
+        }
+    }
+
+    void recordFault(const HostId &host)
+    {
+        m_lastFaults.emplace(host, m_fleet.m_simulation.m_now);
+    }
+
+    void restart(const HostId &host)
+    {
+        FleetSimulation &simulation = m_fleet.m_simulation;
+        if (host.isEmpty() || !simulation.m_hosts.contains(host)) {
+            return;
+        }
+        recordFault(host);
+        simulation.kill(host);
+        simulation.at(milliseconds(200), [this, host] {
+            m_fleet.m_simulation.start(host.text(), "d1");
+            recordFault(host);
+        });
+    }
+
+    void partition(const HostId &host)
+    {
+        constexpr Duration Length = seconds(2);
+        for (int other = 1; other <= Hosts; ++other) {
+            const HostId otherHost("h" + std::to_string(other));
+            m_fleet.m_simulation.m_partitions.insert({host, otherHost});
+            m_fleet.m_simulation.m_partitions.insert({otherHost, host});
+        }
+        recordFault(host);
+        m_fleet.m_simulation.at(Length, [this, host] {
+            std::erase_if(m_fleet.m_simulation.m_partitions, [&](const auto &pair) { return pair.first == host || pair.second == host; });
+            recordFault(host);
+        });
+    }
+
+    RandomGenerator m_random;
+    CrashingFleet m_fleet;
+    std::string m_path;
+    std::set<std::pair<HostId, TimePoint>> m_lastFaults;
+};
+
+}
+
+TEST_CASE("a request that crashes servers is sent at most three times once three have crashed and the fleet has settled")
+{
+    constexpr std::uint64_t Seeds = 20;
+    constexpr int MaxLateAttempts = 3;
+    const char *seeds = std::getenv("RAGWORTRELAY_CRASH_SEEDS");
+    const std::uint64_t count = seeds == nullptr ? Seeds : std::stoull(seeds);
+    for (std::uint64_t seed = 1; seed <= count; ++seed) {
+        CAPTURE(seed);
+        RandomFaults faults(seed);
+        faults.run();
+        CHECK(faults.lateAttempts() <= MaxLateAttempts);
+    }
+}
