Tell servers that break connections from servers that have ended

Cause: a response that shows a server to be alive comes 100 ms later at the earliest, the second broken connection 3 ms after the first; and the doubt about earlier crashes of the same server didn't lessen the bound of eight candidates only, it lifted it. Change: a connection that a server accepts within a second of a crash makes the crash doubtful too, whatever becomes of it; and crashes of a server are doubtful for 10 s after one that was none. Doubtful crashes still count among the four that suffice in any case.

--- a/include/ragwortrelay/dispatch/crashsuspects.h
+++ b/include/ragwortrelay/dispatch/crashsuspects.h
@@ -23,6 +23,7 @@
     Duration m_reportDelay{std::chrono::milliseconds(30)}; ///< Time after a crash until all requests that were present are known.
     Duration m_responseLag{std::chrono::milliseconds(100)}; ///< Time for which a response sent before a crash may be reported after it.
     Duration m_minRestartTime{std::chrono::seconds(1)}; ///< Time that a server usually needs at least to end and to serve again.
+    Duration m_survivalMemory{std::chrono::seconds(10)}; ///< Time for which crashes of a server are doubtful after one that was none.
     std::size_t m_serverThreshold = 2; ///< Number of distinct crashed servers that suffices unless the crashes may have another cause.
     std::size_t m_crashThreshold = 4; ///< Number of crashes that suffices in any case.
     std::size_t m_finalThreshold = 5; ///< Number of crashes after which the request isn't tried again soon. Further crashes replace the oldest.
@@ -51,7 +52,7 @@
     TimePoint m_at; ///< Time at which the crash was noticed.
     TimePoint m_startedAt; ///< Start of the attempt.
     CrashSign m_sign = CrashSign::BrokenConnection;
-    bool m_isDoubtful = false; ///< The server has responded to another request sooner than it is likely to restart.
+    bool m_isDoubtful = false; ///< The server has served another connection sooner than it is likely to restart, or has done so at a recent crash.
 
     friend bool operator==(const Crash &, const Crash &) = default;
 };
@@ -63,7 +64,14 @@
 struct CrashSuspects {
     std::map<Fingerprint, std::map<CrashId, Crash>> m_crashes; ///< Crashes of each suspect by its fingerprint.
     std::set<Fingerprint> m_candidates; ///< Suspects that were present at enough crashes to be quarantined, unless others were present as well.
-    std::map<ServerId, std::vector<std::pair<Fingerprint, CrashId>>> m_recent; ///< Latest crashes of each server, which its next responses may disprove.
+    std::map<ServerId, std::vector<std::pair<Fingerprint, CrashId>>> m_recent; ///< Latest crashes of each server, which its next attempts may disprove.
+    std::map<ServerId, TimePoint> m_survivedAt; ///< Servers with a crash that was none, with the time at which the latest one was noticed.
+};
+
+/// What an attempt tells about the server that it was sent to.
+enum class LifeSign : std::uint8_t {
+    Response, ///< The server has responded, so it was running all the time since the start of the attempt.
+    Connection, ///< The server has accepted a connection and the request.
 };
 
 /// Records that a server seems to have crashed while it executed the request. A crash that is already recorded has no effect.
@@ -71,11 +79,11 @@
 /// @return whether the crash was not recorded yet
 bool recordCrash(CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, const CrashId &id, const Crash &crash);
 
-/// Corrects the recent crashes of a server that has responded to a request. A response to a request that was running at the time of a crash
-/// disproves the crash; one to a request that was sent soon after it makes the crash doubtful. Linear in the recent crashes of the server.
+/// Corrects the recent crashes of a server that an attempt has found running. A response to a request that was running at the time of a crash
+/// disproves the crash; an attempt that was started soon after it makes the crash doubtful. Linear in the recent crashes of the server.
 /// Not thread-safe on one state.
-/// @param startedAt start of the attempt that was responded to
-void recordResponse(CrashSuspects &suspects, const CrashSuspectSettings &settings, const ServerId &server, TimePoint startedAt, TimePoint now);
+/// @param startedAt start of the attempt
+void recordLifeSign(CrashSuspects &suspects, const CrashSuspectSettings &settings, const ServerId &server, LifeSign sign, TimePoint startedAt, TimePoint now);
 
 /// Removes a suspect, because a server has executed the request and survived. Returns whether it was suspected. Not thread-safe on one state.
 bool clearSuspect(CrashSuspects &suspects, Fingerprint fingerprint);
--- a/src/dispatch/crashsuspects.cpp
+++ b/src/dispatch/crashsuspects.cpp
@@ -124,10 +124,31 @@
     std::erase_if(suspects.m_recent, [](const auto &entry) { return entry.second.empty(); });
 }
 
-/// Applies a response of a server to one of its recent crashes.
-/// @return whether later responses may still change the crash
-bool applyResponse(
-    CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, const CrashId &id, TimePoint startedAt, TimePoint now)
+/// An attempt that has found a server running.
+struct Survival {
+    LifeSign m_sign{};
+    TimePoint m_startedAt; ///< Start of the attempt.
+    TimePoint m_at; ///< End of the attempt.
+};
+
+/// Tells whether an attempt shows that a server went on running at the presumed time of its end.
+bool disproves(const Survival &survival, const Crash &crash, const CrashSuspectSettings &settings)
+{
+    const bool wasRunning = survival.m_startedAt < presumedEnd(crash) - settings.m_responseLag;
+    return survival.m_sign == LifeSign::Response && crash.m_sign == CrashSign::BrokenConnection && wasRunning;
+}
+
+/// Tells whether an attempt shows that a server was running sooner after its presumed end than it is likely to restart.
+bool makesDoubtful(const Survival &survival, const Crash &crash, const CrashSuspectSettings &settings)
+{
+    const TimePoint end = presumedEnd(crash);
+    const bool isNewConnection = survival.m_startedAt >= end + settings.m_responseLag && crash.m_sign == CrashSign::BrokenConnection;
+    return survival.m_startedAt < end + settings.m_minRestartTime && (survival.m_sign == LifeSign::Response || isNewConnection);
+}
+
+/// Applies what an attempt tells about a server to one of the server's recent crashes.
+/// @return whether later attempts may still change the crash
+bool applySurvival(CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, const CrashId &id, const Survival &survival)
 {
     const auto suspect = suspects.m_crashes.find(fingerprint);
     if (suspect == suspects.m_crashes.end() || !suspect->second.contains(id)) {
@@ -135,20 +156,22 @@
     }
     Crash &crash = suspect->second.at(id);
     const TimePoint end = presumedEnd(crash);
-    if (now < end + settings.m_responseLag) {
+    if (survival.m_at < end + settings.m_responseLag) {
         return true;
     }
-    const bool wasRunning = crash.m_sign == CrashSign::BrokenConnection && startedAt < end - settings.m_responseLag;
-    if (wasRunning) {
-        suspect->second.erase(id);
-    } else if (startedAt < end + settings.m_minRestartTime) {
+    const bool isDisproved = disproves(survival, crash, settings);
+    if (isDisproved || makesDoubtful(survival, crash, settings)) {
         crash.m_isDoubtful = true;
+        suspects.m_survivedAt[crash.m_server] = survival.m_at;
+    }
+    if (isDisproved) {
+        suspect->second.erase(id);
     }
     if (suspect->second.empty()) {
         suspects.m_crashes.erase(suspect);
     }
     updateCandidate(suspects, settings, fingerprint);
-    return !wasRunning && now < end + settings.m_trialDelay;
+    return !isDisproved && survival.m_at < end + settings.m_trialDelay;
 }
 
 }
@@ -164,7 +187,10 @@
     if (isNew && suspects.m_crashes.size() >= settings.m_maxSuspects) {
         removeLeastSuspect(suspects);
     }
-    const bool isAdded = addCrash(suspects.m_crashes[fingerprint], settings, id, crash);
+    const auto survivedAt = suspects.m_survivedAt.find(crash.m_server);
+    Crash noticed = crash;
+    noticed.m_isDoubtful = crash.m_isDoubtful || (survivedAt != suspects.m_survivedAt.end() && crash.m_at < survivedAt->second + settings.m_survivalMemory);
+    const bool isAdded = addCrash(suspects.m_crashes[fingerprint], settings, id, noticed);
     if (isAdded) {
         suspects.m_recent[crash.m_server].emplace_back(fingerprint, id);
         updateCandidate(suspects, settings, fingerprint);
@@ -172,13 +198,14 @@
     return isAdded;
 }
 
-void recordResponse(CrashSuspects &suspects, const CrashSuspectSettings &settings, const ServerId &server, TimePoint startedAt, TimePoint now)
+void recordLifeSign(CrashSuspects &suspects, const CrashSuspectSettings &settings, const ServerId &server, LifeSign sign, TimePoint startedAt, TimePoint now)
 {
     const auto recent = suspects.m_recent.find(server);
     if (recent == suspects.m_recent.end()) {
         return;
     }
-    std::erase_if(recent->second, [&](const auto &entry) { return !applyResponse(suspects, settings, entry.first, entry.second, startedAt, now); });
+    const Survival survival{sign, startedAt, now};
+    std::erase_if(recent->second, [&](const auto &entry) { return !applySurvival(suspects, settings, entry.first, entry.second, survival); });
     if (recent->second.empty()) {
         suspects.m_recent.erase(recent);
     }
@@ -264,6 +291,7 @@
         return found == suspects.m_crashes.end() || !reachesThreshold(found->second, settings);
     });
     forgetRecentCrashes(suspects, settings, now);
+    std::erase_if(suspects.m_survivedAt, [&](const auto &entry) { return now >= entry.second + settings.m_survivalMemory; });
 }
 
 }
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -19,6 +19,27 @@
     return isBroken ? Dispatch::CrashSign::BrokenConnection : Dispatch::CrashSign::NoResponse;
 }
 
+/// Returns what an attempt tells about its server; nothing if the server may have ended before the attempt.
+std::optional<Dispatch::LifeSign> lifeSignOf(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Succeeded:
+    case AttemptEnd::Failed:
+    case AttemptEnd::Shed:
+    case AttemptEnd::MalformedResponse:
+        return Dispatch::LifeSign::Response;
+    case AttemptEnd::Broken:
+        return Dispatch::LifeSign::Connection;
+    case AttemptEnd::Misdirected:
+    case AttemptEnd::NotListening:
+    case AttemptEnd::Unreachable:
+    case AttemptEnd::TimedOut:
+    case AttemptEnd::Abandoned:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
 /// Updates the crash suspects by the end of an attempt, and removes expired suspects and idle connections once a second.
 void recordRequestOutcome(Scheduler &scheduler, const AttemptReport &report, std::uint64_t fingerprint, const Requester &requester, TimePoint now)
 {
@@ -29,8 +50,10 @@
         forgetIdleConnections(scheduler.m_registry, scheduler.m_settings.m_selection, now);
     }
     const TimePoint startedAt = now - report.m_elapsed;
+    if (const auto sign = lifeSignOf(report.m_end)) {
+        Dispatch::recordLifeSign(scheduler.m_suspects, scheduler.m_settings.m_suspects, report.m_server, *sign, startedAt, now);
+    }
     if (report.m_end == AttemptEnd::Succeeded) {
-        Dispatch::recordResponse(scheduler.m_suspects, scheduler.m_settings.m_suspects, report.m_server, startedAt, now);
         Dispatch::clearSuspect(scheduler.m_suspects, fingerprint);
     } else if (report.m_fingerprint != 0) {
         recordCrash(scheduler, {report.m_fingerprint, {requester.m_host, report.m_number}, {report.m_server, now, startedAt, signOf(report.m_end), false}});
--- a/tests/dispatch/policies.cpp
+++ b/tests/dispatch/policies.cpp
@@ -146,9 +146,10 @@
         CrashSuspects suspects;
         const TimePoint now{seconds(1000)};
         recordCrashes(suspects, settings, CrashingRequest, 4, now);
-        recordResponse(suspects, settings, ServerId("s0"), now - seconds(1), now + milliseconds(50)); // It may have been sent before the crash.
+        recordLifeSign(
+            suspects, settings, ServerId("s0"), LifeSign::Response, now - seconds(1), now + milliseconds(50)); // It may have been sent before the crash.
         CHECK(suspects.m_crashes.at(CrashingRequest).size() == 4);
-        recordResponse(suspects, settings, ServerId("s0"), now - seconds(1), now + milliseconds(200));
+        recordLifeSign(suspects, settings, ServerId("s0"), LifeSign::Response, now - seconds(1), now + milliseconds(200));
         CHECK(suspects.m_crashes.at(CrashingRequest).size() == 3);
     }
 
@@ -159,18 +160,35 @@
         const TimePoint now{seconds(1000)};
         recordCrashes(suspects, settings, CrashingRequest, 2, now);
         CHECK(quarantineRemaining(suspects, settings, CrashingRequest, now + seconds(1)));
-        recordResponse(suspects, settings, ServerId("s0"), now + milliseconds(300), now + milliseconds(500));
+        recordLifeSign(suspects, settings, ServerId("s0"), LifeSign::Response, now + milliseconds(300), now + milliseconds(500));
         CHECK(quarantineVerdict(suspects, settings, CrashingRequest, now + seconds(1)) == QuarantineVerdict::TooFewCrashes);
         CHECK(suspects.m_crashes.at(CrashingRequest).size() == 2);
     }
 
+    SECTION("a connection soon after a crash makes it and the next crashes of the server doubtful")
+    {
+        const CrashSuspectSettings settings;
+        CrashSuspects suspects;
+        const TimePoint now{seconds(1000)};
+        const ServerId server("s0");
+        recordCrashes(suspects, settings, CrashingRequest, 2, now);
+        recordLifeSign(suspects, settings, server, LifeSign::Connection, now + milliseconds(50), now + milliseconds(150)); // It may be an old connection.
+        CHECK(quarantineRemaining(suspects, settings, CrashingRequest, now + seconds(1)));
+        recordLifeSign(suspects, settings, server, LifeSign::Connection, now + milliseconds(300), now + milliseconds(302));
+        CHECK_FALSE(quarantineRemaining(suspects, settings, CrashingRequest, now + seconds(1)));
+        const TimePoint next = now + seconds(5);
+        recordCrash(suspects, settings, bystanderAt(1), {HostId("h"), 1}, crashAt(server, next));
+        recordCrash(suspects, settings, bystanderAt(1), {HostId("h"), 2}, crashAt(ServerId("s9"), next));
+        CHECK_FALSE(quarantineRemaining(suspects, settings, bystanderAt(1), next + seconds(1)));
+    }
+
     SECTION("a response to a request that was sent after a server may have restarted changes nothing")
     {
         const CrashSuspectSettings settings;
         CrashSuspects suspects;
         const TimePoint now{seconds(1000)};
         recordCrashes(suspects, settings, CrashingRequest, 2, now);
-        recordResponse(suspects, settings, ServerId("s0"), now + settings.m_minRestartTime, now + seconds(2));
+        recordLifeSign(suspects, settings, ServerId("s0"), LifeSign::Response, now + settings.m_minRestartTime, now + seconds(2));
         CHECK(quarantineRemaining(suspects, settings, CrashingRequest, now + seconds(2)));
     }
 
