Try a request again one attempt at a time after its quarantine

Cause: only requests with four crashes had to run alone. Change: every request whose quarantine is over runs alone until it succeeds or crashes again.

--- a/include/ragwortrelay/dispatch/crashsuspects.h
+++ b/include/ragwortrelay/dispatch/crashsuspects.h
@@ -109,8 +109,8 @@
 /// Returns whether the request may look like the cause only because reports of other requests are outstanding. Thread-safe like isSuspect().
 bool awaitsReports(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, TimePoint now);
 
-/// Returns whether no two attempts of the request may run at the same time, since it was present at so many crashes. Thread-safe like isSuspect().
-bool mustRunAlone(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint);
+/// Returns whether no two attempts of the request may run at the same time, as it is tried again after a quarantine. Thread-safe like isSuspect().
+bool mustRunAlone(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, TimePoint now);
 
 /// Returns the remaining quarantine of the request; empty if it is not quarantined. For a candidate, takes time linear in the number of
 /// suspects. Thread-safe like isSuspect().
--- a/src/dispatch/crashsuspects.cpp
+++ b/src/dispatch/crashsuspects.cpp
@@ -262,10 +262,9 @@
     return suspects.m_candidates.contains(fingerprint) && now < lastCrashAt(suspects.m_crashes.at(fingerprint)) + settings.m_reportDelay;
 }
 
-bool mustRunAlone(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint)
+bool mustRunAlone(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, TimePoint now)
 {
-    const auto found = suspects.m_crashes.find(fingerprint);
-    return found != suspects.m_crashes.end() && isConclusive(found->second, settings);
+    return quarantineVerdict(suspects, settings, fingerprint, now) == QuarantineVerdict::Expired;
 }
 
 std::optional<Duration> quarantineRemaining(const CrashSuspects &suspects, const CrashSuspectSettings &settings, Fingerprint fingerprint, TimePoint now)
