Start no second attempt beside one of a crash suspect

What callers saw: found by the simulated test: each send of a request that silences its servers ended two of them, since the hedge for slow requests went to a second server while nobody answered for the first. Cause: hedges were decided without a look at the crashes of the request. Change: a host that knows a crash of the request grants no hedge for it. Also: in the simulated test a server that has ended is out for 2 s, as it is for the users; it answered others at once before, which no real server does.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -82,7 +82,9 @@
 std::optional<Duration> quarantineRemaining(const Scheduler &scheduler, const PlacementRequest &placement, TimePoint now)
 {
     constexpr Duration TrialRetryAfter = std::chrono::seconds(1); // While another attempt shows whether the request crashes a server.
-    if (Dispatch::mustRunAlone(scheduler.m_suspects, scheduler.m_settings.m_suspects, placement.m_fingerprint, now) && isRunning(scheduler, placement, now)) {
+    const bool isHedgeOfSuspect = placement.m_purpose == AttemptKind::Hedge && Dispatch::isSuspect(scheduler.m_suspects, placement.m_fingerprint);
+    const bool mustRunAlone = Dispatch::mustRunAlone(scheduler.m_suspects, scheduler.m_settings.m_suspects, placement.m_fingerprint, now);
+    if (isHedgeOfSuspect || (mustRunAlone && isRunning(scheduler, placement, now))) {
         return TrialRetryAfter;
     }
     const auto remaining = Dispatch::quarantineRemaining(scheduler.m_suspects, scheduler.m_settings.m_suspects, placement.m_fingerprint, now);
--- a/tests/host/crashes.cpp
+++ b/tests/host/crashes.cpp
@@ -29,8 +29,16 @@
         const ServerId server = attempt.m_start.m_server;
         const Host::AttemptId id = attempt.m_start.m_attempt;
         const std::string &target = m_simulation.m_requests.at(attempt.m_start.m_exchange).m_target;
+        const auto outage = m_outages.find(server);
+        if (outage != m_outages.end() && m_simulation.m_now < outage->second.m_until) {
+            return {milliseconds(1), outage->second.m_isSilent ? std::nullopt : FleetSimulation::failed(id, AttemptFailure::ConnectRefused, false)};
+        }
         if (target.starts_with("/silent")) {
             ++m_crashCount;
+            if (m_restartTime > Duration(0)) {
+                m_outages[server] = {m_simulation.m_now + m_restartTime, true};
+                m_running.erase(server);
+            }
             return {Duration(0), std::nullopt};
         }
         m_running[server].emplace(host, id);
@@ -48,6 +56,7 @@
     /// Breaks all attempts that run on a server.
     void crash(const ServerId &server)
     {
+        m_outages[server] = {m_simulation.m_now + m_restartTime, false};
         for (const auto &[host, attempt] : std::exchange(m_running[server], {})) {
             m_simulation.deliver(host, Host::AttemptFailed{attempt, AttemptFailure::Broken, true});
         }
@@ -67,7 +76,15 @@
         return m_simulation.m_responses.at(request).m_problem.m_id == ErrorId::RequestQuarantined;
     }
 
+    /// Time during which a server that has ended isn't back.
+    struct Outage {
+        TimePoint m_until;
+        bool m_isSilent = false; ///< Connections are accepted, and nothing answers.
+    };
+
     FleetSimulation m_simulation;
+    Duration m_restartTime{0}; ///< Time after which a server that has ended is back.
+    std::map<ServerId, Outage> m_outages;
     std::map<ServerId, std::set<std::pair<HostId, Host::AttemptId>>> m_running;
     bool m_isCrashing = true; ///< Requests to /crash crash their server.
     int m_crashCount = 0;
@@ -197,6 +214,7 @@
     explicit RandomFaults(std::uint64_t seed) : m_random(seed), m_fleet(seed, Hosts, Servers), m_path(seed % 2 == 0 ? "/crash" : "/silent")
     {
         m_fleet.m_simulation.m_lossChance = 0.02;
+        m_fleet.m_restartTime = seconds(2);
     }
 
     void run()
