Split the timers of attempts and the store readers off two large files

Change: attempttimers.cpp has hedges, silence and attempts that are left running; storereaders.cpp has the followers that read the store for a leader.

--- a/include/ragwortrelay/detail/host/handlers.h
+++ b/include/ragwortrelay/detail/host/handlers.h
@@ -56,6 +56,18 @@
 /// Records that the server of an attempt may have ended, if the attempt still has no response.
 void onSilenceDue(State &state, AttemptId id, TimePoint now);
 
+/// Returns the time without a response after which a server may have ended.
+Duration silenceTimeout(const State &state, const ServerId &id);
+
+/// Schedules a hedge, a second attempt, for an idempotent request in case that the first attempt is slow.
+void scheduleHedge(State &state, ExchangeId id, Exchange &exchange, TimePoint now);
+
+/// Returns whether another attempt of a request may be started.
+bool canRetry(const Exchange &exchange, const HostSettings &settings, TimePoint now);
+
+/// Logs the end of an attempt.
+void logAttemptEnd(const State &state, const Attempt &attempt, Scheduling::AttemptEnd end, TimePoint now, Actions &actions);
+
 /// Returns whether an attempt has been without a response for much longer than is usual for the service.
 bool isSilent(const State &state, const Attempt &attempt, TimePoint now);
 
@@ -170,6 +182,9 @@
 /// Sends the leader a heartbeat at once when this host has a fresher confirmation or can't read the store any more.
 void sendConfirmation(State &state, bool hasJustFailed, TimePoint now);
 
+/// Updates the state of a store reader from its heartbeat.
+void updateStoreReader(State &state, const HostId &from, const Fleet::Heartbeat &heartbeat, TimePoint now);
+
 /// Appoints store readers while this host leads and can't read the store, and replaces those that can't read it either.
 void manageStoreReaders(State &state, TimePoint now, Actions &actions);
 
