--- a/include/ragwortrelay/detail/host/handlers.h
+++ b/include/ragwortrelay/detail/host/handlers.h
@@ -163,22 +163,9 @@
 /// Performs the periodic work of the fleet: heartbeats, store readers and shares of limits.
 void tickFleet(State &state, TimePoint now, Actions &actions);
 
-/// Logs the crashes that this host has recorded since the last call, and reports them to the leader or, as the leader, to its successors.
-void propagateNewCrashes(State &state, TimePoint now, Actions &actions);
-
 /// Sends a heartbeat to the leader, a follower or another host.
 void sendHeartbeat(State &state, const Fleet::HeartbeatRequest &request, TimePoint now);
 
-/// Sends another host the crashes that it has to know: all to a new leader, recent ones to any leader, those of the fleet to a successor.
-void sendKnownCrashes(State &state, const HostId &host, TimePoint now);
-
-/// Records that a heartbeat came from the leader, and hands the known crashes over to a new process that leads.
-void onLeaderHeard(State &state, Fleet::Incarnation incarnation, TimePoint now);
-
-/// Records the crashes that the previous leader has reported. Precondition: this host has become the leader.
-void adoptReplicatedCrashes(State &state);
-void onCrashReports(State &state, const HostId &from, const Fleet::CrashReports &message, TimePoint now);
-
 /// Sends the leader a heartbeat at once when this host has a fresher confirmation or can't read the store any more.
 void sendConfirmation(State &state, bool hasJustFailed, TimePoint now);
 
@@ -210,6 +197,21 @@
 /// Returns the identity of this host for schedulers.
 Scheduling::Requester ownRequester(const State &state);
 
+// Crashes of servers
+
+/// Logs the crashes that this host has recorded since the last call, and reports them to the leader or, as the leader, to its successors.
+void propagateNewCrashes(State &state, TimePoint now, Actions &actions);
+
+/// Sends another host the crashes that it has to know: all to a new leader, recent ones to any leader, those of the fleet to a successor.
+void sendKnownCrashes(State &state, const HostId &host, TimePoint now);
+
+/// Records that a heartbeat came from the leader, and hands the known crashes over to a new process that leads.
+void onLeaderHeard(State &state, Fleet::Incarnation incarnation, TimePoint now);
+
+/// Records the crashes that the previous leader has reported. Precondition: this host has become the leader.
+void adoptReplicatedCrashes(State &state);
+void onCrashReports(State &state, const HostId &from, const Fleet::CrashReports &message, TimePoint now);
+
 // Tables of the store
 
 void onStoreResponded(State &state, const StoreResponded &response, TimePoint now, Actions &actions);
--- a/src/dispatch/crashsuspects.cpp
+++ b/src/dispatch/crashsuspects.cpp
@@ -59,7 +59,7 @@
     return isConclusive(crashes, settings) || (isPossible && countServers(crashes) >= settings.m_serverThreshold);
 }
 
-/// Returns whether another suspect was present at crashes on all the same servers and thus may be the cause instead.
+/// Returns whether another suspect was present at crashes on all the same servers and thus may be the cause instead. Doubtful crashes don't count.
 bool hasAlternativeCause(const CrashSuspects &suspects, Fingerprint fingerprint, const Crashes &crashes)
 {
     return std::ranges::any_of(suspects.m_crashes, [&](const auto &other) {
--- a/src/host/crashes.cpp
+++ b/src/host/crashes.cpp
@@ -1,7 +1,9 @@
 #include <ragwortrelay/detail/host/handlers.h>
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
+#include <utility>
 
 namespace RagwortRelay::Host::detail {
 
@@ -127,7 +129,7 @@
     }
 }
 
-/// Logs a crash with the verdict on each request.
+/// Logs a crash with the verdict on its request.
 void logNewCrash(const State &state, const RecordedCrash &crash, TimePoint now, Actions &actions)
 {
     const Dispatch::CrashSuspects &suspects = state.m_scheduler.m_suspects;
