Review: draining upstreams stay in use after a paged read of the servers

review/2: six hosts are killed while 36 upstreams report that they drain; 7,400 upstreams are listed.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import bisect
 import json
 import os
 import random
@@ -32,6 +33,8 @@
           "minShare": 0.7}
 
 
+TRANSACTION_S = 0.003  # platform.txMs
+
 SITE = "jepu9.example"
 KEY = "ctnfzs989anu6wsjnban"
 
@@ -161,6 +164,8 @@
     def __init__(self):
         super().__init__()
         self.rows = {}  # (table, part, key) -> (version, value or None)
+        self.partition = asyncio.Lock()
+        self.order = {}  # (table, part) -> (number of all rows, names in order)
         self.version = 0
         self.started = time.monotonic()
         self.refused = set()
@@ -192,6 +197,12 @@
         entry.update({"deleted": True} if row[1] is None else {"value": row[1]})
         return entry
 
+    async def report(self, key, value):
+        """Writes the entry of an upstream after the time that a transaction takes. Returns when the store acknowledged it."""
+        async with self.partition:  # A part handles one transaction after another.
+            await asyncio.sleep(TRANSACTION_S)
+            return self.put("servers", key, value)
+
     async def handle(self, method, target, headers, body):
         url = urlsplit(target)
         query = {name: unquote(values[0]) for name, values in parse_qs(url.query, keep_blank_values=True).items()}
@@ -202,14 +213,31 @@
         if table in self.refused:
             return 503, {}, b""
         if url.path == "/api/rows-get":
-            found = sorted((name, row) for name, row in self.rows.items()
-                           if name[:2] == (table, query.get("part", "")) and row[1] is not None and name[2] >= query.get("from", ""))
-            limit = min(500, int(query.get("limit", 500)))
-            return self.answer(200, rows=[self.row(*entry) for entry in found[:limit]], hasMore=len(found) > limit)
+            return self.read(table, query)
         if url.path == "/api/rows-feed":
             return await self.feed(table, int(query["after"]), int(query.get("waitMs", 0)) / 1000)
         return 404, {}, b""
 
+    def read(self, table, query):
+        limit = min(500, int(query.get("limit", 500)))
+        names = self.sorted_names(table, query.get("part", ""))
+        first = bisect.bisect_left(names, (table, query.get("part", ""), query.get("from", "")))
+        found = []
+        for name in names[first:]:
+            if self.rows[name][1] is not None:
+                found.append(self.row(name, self.rows[name]))
+            if len(found) > limit:
+                break
+        return self.answer(200, rows=found[:limit], hasMore=len(found) > limit)
+
+    def sorted_names(self, table, part):
+        """Returns the names of all rows of a part of a table that ever were, in order. Rows are never forgotten, so their number tells whether any is new."""
+        count, names = self.order.get((table, part), (0, []))
+        if count != len(self.rows):
+            names = sorted(name for name in self.rows if name[:2] == (table, part))
+            self.order[(table, part)] = (len(self.rows), names)
+        return names
+
     async def feed(self, table, after, wait):
         deadline = time.monotonic() + wait
         while True:
