--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -34,6 +34,8 @@
 
 
 TRANSACTION_S = 0.003  # platform.txMs
+RESTART_S = 1.0  # After which the platform starts a process again that has ended.
+MOST_LOST = 3  # The rule LOST: "more than three times".
 
 SITE = "jepu9.example"
 KEY = "ctnfzs989anu6wsjnban"
@@ -480,6 +482,37 @@
             host.start()
             self.note(f"start of {host.name}")
 
+    def restart_ended(self):
+        """Starts processes again that have ended by themselves, as the platform does. Returns the list of their names, which grows."""
+        exits = []
+
+        async def watch():
+            while True:
+                for host in self.hosts:
+                    if host.process.poll() is not None:
+                        exits.append(host.name)
+                        self.note(f"the process of {host.name} has ended by itself, exit code {host.process.returncode}")
+                        await asyncio.sleep(RESTART_S)
+                        host.start()
+                        self.note(f"start of {host.name}")
+                await asyncio.sleep(0.05)
+
+        self.tasks.append(asyncio.ensure_future(watch()))
+        return exits
+
+    def judge_lost(self, clients, sound, exits):
+        """Counts requests of kept connections that ran at sound upstreams and got no answer, by the rule LOST. Returns the result of the case."""
+        ran_at_sound = {run[1] for upstream in sound for run in upstream.runs}
+        lost = {}
+        for host, attempt in [entry for client in clients for entry in client.lost]:
+            if attempt in ran_at_sound:
+                lost[host] = lost.get(host, 0) + 1
+        verdict = (f"{sum(client.answered for client in clients)} requests answered; processes that ended by themselves: {exits}; requests of kept "
+                   f"connections that ran at a sound upstream and got no answer, by machine: {lost}; the rule allows {MOST_LOST}")
+        self.note(verdict)
+        print(verdict)
+        return BROKEN if any(count > MOST_LOST for count in lost.values()) else HELD
+
     def judge_quota(self, rate, burst):
         """Compares the runs with the limit of the only tenant, by the rule QUOTA. Returns the result of the case."""
         most, at = worst_window([run[0] for run in self.runs()], BOUNDS["quotaWindowS"])
@@ -516,6 +549,69 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class KeptClient:
+    """Sends requests one after the other on a connection that it keeps, and opens a new one when that one has ended.
+
+    `lost` holds (host name, attempt id) of its requests that ended without an answer, on a connection that had carried an answer before, at a
+    machine in touch.
+    """
+
+    THINK_S = 0.05
+
+    def __init__(self, play, number):
+        self.play, self.number = play, number
+        self.lost = []
+        self.answered = 0
+
+    async def run(self, until):
+        while time.monotonic() < until:
+            host = self.play.next_host(self.number)
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(*host.front.split(":")), 1.0)
+            except (OSError, asyncio.TimeoutError):
+                self.number += 1
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                await self.use(host, reader, writer, until)
+            finally:
+                writer.close()
+
+    async def use(self, host, reader, writer, until):
+        is_kept = False
+        while time.monotonic() < until:
+            if not await self.exchange(host, reader, writer, [b"room=1"], is_kept):
+                return
+            is_kept = True
+            await asyncio.sleep(self.THINK_S)
+
+    async def exchange(self, host, reader, writer, bodies, is_kept):
+        """Sends requests with the given bodies, all before the first answer. Returns whether the connection can be used again."""
+        attempts = []
+        sent = b""
+        for body in bodies:
+            self.play.sent += 1
+            attempts.append(f"{self.play.sent:016x}")
+            head = {"Host": SITE, "Attempt-Id": attempts[-1], "Timeout-Ms": "2500", "Credential": KEY}
+            sent += message(f"POST /book/{attempts[-1]} HTTP/1.1", head, body)
+            self.play.note(f"sent {attempts[-1]} to {host.name} on a {'kept' if is_kept else 'new'} connection, body of {len(body)} bytes")
+        is_open = True
+        try:
+            writer.write(sent)
+            while attempts and is_open:
+                first, headers, _ = await asyncio.wait_for(read_message(reader), 4.0)
+                self.play.note(f"answered {attempts.pop(0)} {first.split(' ')[1]}")
+                self.answered += 1
+                is_open = headers.get("connection", "").lower() != "close"
+            return is_open
+        except (OSError, asyncio.IncompleteReadError):
+            for attempt in attempts:
+                self.play.note(f"answered {attempt} connection ended")
+            if is_kept and time.monotonic() - host.started_at >= BOUNDS["stabilityMs"] / 1000:
+                self.lost.append((host.name, attempts[0]))
+            return False
+
+
 def worst_window(times, seconds):
     """Returns the largest number of events in any span of the given length, and where it begins."""
     times = sorted(times)
