Take no memory for lengths that a peer only announces

Cause: Boost.Beast's string_body reserves the announced length when the head is read; the limit was the largest number, and std::bad_alloc left the event loop. Evidence: nothing but the head had arrived; a reader alone, without a network, throws on the same bytes.

Change: responses and requests are read into a body type that grows with the bytes that have arrived. The same cause between hosts: a part of a delta announces the number of parts, which is bounded by the largest delta now.

Tests: FarTooLargeLength on the code before: the host ends and further requests are refused a connection; passes with the change.

--- /dev/null
+++ b/include/ragwortrelay/detail/http/growingbody.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/optional.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace RagwortRelay::Http::detail {
+
+/// Body type for parsers of Boost.Beast that holds the received bytes in a string. Its memory grows with the bytes that arrive: a length that
+/// a peer announces allocates nothing, unlike with boost::beast::http::string_body.
+struct GrowingBody {
+    using value_type = std::string; // NOLINT(readability-identifier-naming): Boost.Beast prescribes the name.
+
+    /// Appends the parsed bytes to the body. Not thread-safe.
+    class reader // NOLINT(readability-identifier-naming): Boost.Beast prescribes the name.
+    {
+    public:
+        template<typename Header> reader(Header & /*header*/, value_type &body) : m_body(body)
+        {
+        }
+
+        /// Accepts a body of any announced length. No preconditions.
+        static void init(const boost::optional<std::uint64_t> & /*length*/, boost::beast::error_code &error)
+        {
+            error = {};
+        }
+
+        /// Appends bytes and returns their number. No preconditions.
+        template<typename Buffers> std::size_t put(const Buffers &buffers, boost::beast::error_code &error)
+        {
+            error = {};
+            std::size_t size = 0;
+            for (const boost::asio::const_buffer buffer : boost::beast::buffers_range_ref(buffers)) {
+                m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
+                size += buffer.size();
+            }
+            return size;
+        }
+
+        /// Ends the body. No preconditions.
+        static void finish(boost::beast::error_code &error)
+        {
+            error = {};
+        }
+
+    private:
+        value_type &m_body;
+    };
+};
+
+}
--- a/src/fleet/tablereplica.cpp
+++ b/src/fleet/tablereplica.cpp
@@ -16,6 +16,9 @@
 /// Maximum size of an uncompressed delta in bytes. Hosts read larger changes from the store.
 constexpr std::size_t MaxDeltaBytes = 4U << 20U;
 
+/// Maximum number of parts of a delta, with room for what compression adds to bytes that can't be made smaller.
+constexpr std::uint32_t MaxParts = 2 * MaxDeltaBytes / MaxPartBytes;
+
 /// Maximum number of erased rows that are retained.
 constexpr std::size_t MaxErasedRows = 512;
 
@@ -259,7 +262,8 @@
 bool applyDelta(TableReplica &table, const DeltaPart &part)
 {
     const bool isApplicable = part.m_since == 0 || part.m_since <= table.m_version;
-    if (part.m_version <= table.m_version || !isApplicable || part.m_index >= part.m_count) {
+    const bool isValid = part.m_count <= MaxParts && part.m_index < part.m_count;
+    if (part.m_version <= table.m_version || !isApplicable || !isValid) {
         return false;
     }
     PartialDelta &partial = table.m_partialDelta;
--- a/src/http/requestreader.cpp
+++ b/src/http/requestreader.cpp
@@ -1,3 +1,4 @@
+#include <ragwortrelay/detail/http/growingbody.h>
 #include <ragwortrelay/detail/http/requestcheck.h>
 #include <ragwortrelay/http/requestreader.h>
 #include <ragwortrelay/http/status.h>
@@ -6,7 +7,6 @@
 #include <utility>
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace RagwortRelay::Http {
 
@@ -62,7 +62,7 @@
     }
 
     RequestLimits m_limits;
-    beast::request_parser<beast::string_body> m_parser;
+    beast::request_parser<detail::GrowingBody> m_parser;
     RequestHead m_head;
     ReadState m_state = ReadState::Head;
     RequestReadError m_refusal;
--- a/src/http/responsereader.cpp
+++ b/src/http/responsereader.cpp
@@ -1,10 +1,10 @@
+#include <ragwortrelay/detail/http/growingbody.h>
 #include <ragwortrelay/http/responsereader.h>
 
 #include <ostream> // Boost.Beast 1.74 needs it and doesn't include it.
 #include <utility>
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -65,7 +65,7 @@
     }
 
     ResponseBody m_body;
-    std::optional<beast::response_parser<beast::string_body>> m_parser;
+    std::optional<beast::response_parser<detail::GrowingBody>> m_parser;
     ResponseHead m_head;
     ResponseState m_state = ResponseState::Head;
 };
--- a/tests/fleet/tablereplica.cpp
+++ b/tests/fleet/tablereplica.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <limits>
+
 using namespace RagwortRelay;
 using namespace RagwortRelay::Fleet;
 
@@ -102,6 +104,15 @@
     }
 }
 
+// Guards against memory for parts that another host only announces.
+TEST_CASE("regression: a part of a delta with a far too large number of parts ended the process")
+{
+    TableReplica table = replicaWithRows(1);
+    DeltaPart part{TableKind::Servers, 0, 2, 0, std::numeric_limits<std::uint32_t>::max(), "bytes"};
+    CHECK_FALSE(applyDelta(table, part));
+    CHECK(table.m_partialDelta.m_parts.empty());
+}
+
 TEST_CASE("regression: each change of a large table scanned all its rows for erased ones")
 {
     TableReplica table = replicaWithRows(2000);
--- a/tests/http/responsereader.cpp
+++ b/tests/http/responsereader.cpp
@@ -70,3 +70,28 @@
         CHECK(reader.state() == ResponseState::Broken);
     }
 }
+
+// Guards against an allocation of the announced length, which no memory holds.
+TEST_CASE("regression: a response with a far too large length ended the process")
+{
+    ResponseReader reader(ResponseBody::Expected);
+    CHECK(feed(reader, {"HTTP/1.1 200 OK\r\nContent-Length: 1818181818181818181\r\n\r\nhello"}) == ResponseState::Body);
+    const std::string body = reader.takeBody();
+    CHECK(body == "hello");
+    CHECK(body.capacity() < 1024);
+
+    SECTION("and is broken when the connection ends")
+    {
+        reader.putEof();
+        CHECK(reader.state() == ResponseState::Broken);
+    }
+}
+
+TEST_CASE("a response with a chunk of a far too large size holds only the bytes that arrived")
+{
+    ResponseReader reader(ResponseBody::Expected);
+    CHECK(feed(reader, {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffff\r\nhello"}) == ResponseState::Body);
+    const std::string body = reader.takeBody();
+    CHECK(body == "hello");
+    CHECK(body.capacity() < 1024);
+}
--- a/tests/processes/test_faulty_responses.py
+++ b/tests/processes/test_faulty_responses.py
@@ -62,6 +62,31 @@
             self.check(behaviours, statuses)
 
 
+class FarTooLargeLength(unittest.TestCase):
+    """Guards against the end of a host's process by a response that announces more bytes than the memory holds."""
+
+    LENGTHS = ("30000000000", "1818181818181818181", "18446744073709551615", "99999999999999999999999")
+
+    def test_costs_only_its_own_request(self):
+        def respond(server, connection, request):
+            if not request.target.startswith("/spoiled"):
+                return server.send(connection, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            length = self.LENGTHS[int(request.target.rpartition("/")[2])]
+            server.send(connection, f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\nok".encode())
+            raise OSError("the response breaks off")
+
+        with Fleet(hosts=1, backends=0) as fleet:
+            fleet.backends = [FaultyServer(respond) for _ in range(2)]
+            key = fleet.configure()
+            callers = fleet.hosts[0].callers
+            for number, length in enumerate(self.LENGTHS):
+                for method in ("GET", "POST"):
+                    with self.subTest(length=length, method=method):
+                        self.assertIn(request(callers, method, f"/spoiled/{number}", bearer(key), b"x").status, (502, 503))
+                        self.assertEqual(request(callers, "GET", "/other", bearer(key)).status, 200)
+            self.assertIsNone(fleet.hosts[0].process.poll())
+
+
 def peak_memory(process):
     """Returns the greatest resident size of a process so far, in bytes."""
     with open(f"/proc/{process.pid}/status", encoding="ascii") as file:
