Don't round up small shares of a burst to a whole token on each host

Cause: a bucket held at least one whole token, so 48 hosts held 48 tokens of a burst of 14 beside those that the leader had just admitted. Evidence: within 0.75 s after the kill each of the 47 others admits one request, and then none.

Change: a bucket whose share of the burst is below one token holds a whole token only for the time in which that share accrues, at a phase of its own (a hash of host and workspace). So as many hosts hold one at any time as the burst has tokens, and each gets its whole share of the rate. Buckets with a share of one token or more work as before. A burst below one token counts as one for the whole limit only.

--- a/include/ragwortrelay/limits/tokenbucket.h
+++ b/include/ragwortrelay/limits/tokenbucket.h
@@ -9,11 +9,16 @@
 
 /// Token bucket for one host's share of the rate limit of a workspace. Several buckets share the limit of one workspace; their shares add up
 /// to at most one.
+///
+/// A bucket whose share of the burst is below one token still admits requests: it may owe a fraction of a token, its phase, and loses a whole
+/// token that it doesn't use within the time in which its share of the burst accrues. With evenly distributed phases the buckets of a limit hold as
+/// many tokens at any time as the burst allows, and each of them admits requests at its share of the rate.
 struct TokenBucket {
     double m_rate = 0.0; ///< Rate of the whole limit, in tokens per second.
     double m_burst = 0.0; ///< Burst of the whole limit, in tokens.
     double m_share = 0.0; ///< Share of the limit that belongs to this bucket, 0 to 1.
-    double m_tokens = 0.0; ///< Tokens that are available.
+    double m_phase = 0.0; ///< Fraction of a token that the bucket may owe while its share of the burst is below one token, 0 to 1; differs between hosts.
+    double m_tokens = 0.0; ///< Tokens that have accrued and are unused; negative while the bucket owes a fraction of one.
     TimePoint m_refilledAt;
     TimePoint m_lastRetryAt{}; ///< Latest time at which a rejected caller was told to retry.
 
--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -83,6 +83,7 @@
     std::map<ServiceId, PlacementQueue> m_queues;
     std::map<PlacementId, GrantedPlacement> m_granted;
     std::map<HostId, FailureDomainId> m_hostDomains; ///< Failure domains of the hosts that have sent placement requests or reports.
+    std::uint64_t m_phaseSeed = 0; ///< Seed of the phases of the token buckets; differs between hosts.
     double m_share = 1.0; ///< Part of each limit and budget that this scheduler may grant, 0 to 1.
     TimePoint m_overdueCheckedAt{}; ///< Last check for attempts that run for too long.
     TimePoint m_nextTokenCheckAt{}; ///< Time of the next check of the placements that wait for tokens.
--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -1,3 +1,4 @@
+#include <ragwortrelay/core/hash.h>
 #include <ragwortrelay/detail/host/handlers.h>
 
 #include <algorithm>
@@ -136,6 +137,7 @@
     state.m_source = source;
     state.m_random.seed(seed);
     state.m_scheduler.m_settings = settings.m_scheduling;
+    state.m_scheduler.m_phaseSeed = hashOf(settings.m_host.text());
     state.m_incarnation = incarnation;
     state.m_claims.m_settings = settings.m_claims;
     state.m_claims.m_settings.m_owner = settings.m_host.text() + '/' + std::to_string(incarnation);
--- a/src/limits/tokenbucket.cpp
+++ b/src/limits/tokenbucket.cpp
@@ -1,17 +1,39 @@
 #include <ragwortrelay/limits/tokenbucket.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace RagwortRelay::Limits {
 
 namespace {
 
-/// Smallest burst of a bucket with a share, in tokens. A share of a small burst must still admit one request.
+/// Smallest burst of a whole limit, in tokens. A smaller one would admit no request.
 constexpr double MinBurst = 1.0;
 
-double effectiveBurst(const TokenBucket &bucket)
+/// Returns the bucket's share of the burst, in tokens.
+double burstOf(const TokenBucket &bucket)
 {
-    return bucket.m_share > 0.0 ? std::max(MinBurst, bucket.m_burst * bucket.m_share) : 0.0;
+    return std::max(MinBurst, bucket.m_burst) * bucket.m_share;
+}
+
+/// Returns the tokens that can be consumed. Only whole ones count.
+double availableTokens(const TokenBucket &bucket)
+{
+    return bucket.m_tokens + (burstOf(bucket) < 1.0 ? bucket.m_phase : 0.0);
+}
+
+/// Removes the tokens that the bucket can't hold: those above a burst of at least one token, or whole ones that weren't used in time.
+void discardExcess(TokenBucket &bucket)
+{
+    const double burst = burstOf(bucket);
+    if (burst >= 1.0) {
+        bucket.m_tokens = std::min(burst, bucket.m_tokens);
+        return;
+    }
+    const double excess = availableTokens(bucket) - burst;
+    if (excess >= 1.0) {
+        bucket.m_tokens -= std::floor(excess);
+    }
 }
 
 /// Returns the time in which the given number of tokens accrues; empty if none accrue.
@@ -29,7 +51,8 @@
 void refill(TokenBucket &bucket, TimePoint now)
 {
     const double seconds = std::chrono::duration<double>(std::max(Duration(0), now - bucket.m_refilledAt)).count();
-    bucket.m_tokens = std::min(effectiveBurst(bucket), bucket.m_tokens + seconds * bucket.m_rate * bucket.m_share);
+    bucket.m_tokens += seconds * bucket.m_rate * bucket.m_share;
+    discardExcess(bucket);
     bucket.m_refilledAt = std::max(bucket.m_refilledAt, now);
 }
 
@@ -51,7 +74,7 @@
 bool takeToken(TokenBucket &bucket, TimePoint now)
 {
     refill(bucket, now);
-    if (bucket.m_tokens < 1.0) {
+    if (availableTokens(bucket) < 1.0) {
         return false;
     }
     bucket.m_tokens -= 1.0;
@@ -61,10 +84,8 @@
 std::optional<Duration> timeUntilToken(const TokenBucket &bucket, std::size_t waitersAhead)
 {
     const double needed = 1.0 + static_cast<double>(waitersAhead);
-    if (bucket.m_tokens >= needed) {
-        return Duration(0);
-    }
-    return accrualTime(bucket, needed - bucket.m_tokens);
+    const double available = availableTokens(bucket);
+    return available >= needed ? Duration(0) : accrualTime(bucket, needed - available);
 }
 
 std::optional<Duration> assignRetryDelay(TokenBucket &bucket, Duration maxDelay, TimePoint now)
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -1,6 +1,9 @@
+#include <ragwortrelay/core/hash.h>
 #include <ragwortrelay/detail/scheduling/placement.h>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 namespace RagwortRelay::Scheduling {
@@ -61,6 +64,12 @@
     }
 }
 
+/// Returns the phase of a workspace's token bucket on a host, evenly distributed over hosts and workspaces.
+double phaseOf(std::uint64_t seed, const WorkspaceId &id)
+{
+    return static_cast<double>(hashOf(id.text(), seed)) / std::pow(2.0, std::numeric_limits<std::uint64_t>::digits);
+}
+
 void setLimit(Scheduler &scheduler, const WorkspaceId &id, const Configuration::Workspace *workspace, TimePoint now)
 {
     if (workspace == nullptr || !workspace->m_isLimited) {
@@ -70,6 +79,7 @@
     const auto [bucket, isNew] = scheduler.m_buckets.try_emplace(id);
     if (isNew) {
         bucket->second.m_share = scheduler.m_share;
+        bucket->second.m_phase = phaseOf(scheduler.m_phaseSeed, id);
         bucket->second.m_refilledAt = now;
     }
     Limits::setLimit(bucket->second, workspace->m_rate, workspace->m_burst, now);
--- a/tests/host/fleet.cpp
+++ b/tests/host/fleet.cpp
@@ -147,6 +147,40 @@
     }
 }
 
+// Guards against requests that each host admits beside those that the killed leader had just admitted.
+TEST_CASE("regression: all hosts together exceeded the limit of a workspace when the leader was killed")
+{
+    constexpr int Hosts = 48;
+    constexpr unsigned Rate = 14; // requests a second
+    constexpr int SentPerSecond = 5 * Rate;
+    constexpr double Window = 5.0; // seconds
+    const auto burst = GENERATE(14U, 28U, 140U);
+    const auto seed = GENERATE(range(1, 6));
+    CAPTURE(burst, seed);
+    FleetSimulation simulation(static_cast<std::uint64_t>(seed));
+    simulation.m_source = fakeSource();
+    writeConfiguration(simulation, 1, nlohmann::json::array({workspace("w1", Rate, burst)}));
+    writeServers(simulation, 20, 4);
+    simulation.startHosts(Hosts);
+    simulation.run(seconds(14));
+    const HostId leader = simulation.leader();
+    REQUIRE_FALSE(leader.isEmpty());
+
+    for (int i = 0; i < 9 * SentPerSecond; ++i) {
+        if (i == SentPerSecond) {
+            simulation.kill(leader);
+        }
+        simulation.request(HostId("h" + std::to_string(i % Hosts + 1)), "/keyed/" + std::to_string(i), "w1");
+        simulation.run(Duration(seconds(1)) / SentPerSecond);
+    }
+    std::size_t most = 0;
+    for (auto first = simulation.m_receivedAttempts.begin(); first != simulation.m_receivedAttempts.end(); ++first) {
+        const auto isInWindow = [&](const ServedAttempt &attempt) { return attempt.m_at - first->m_at <= seconds(5); };
+        most = std::max(most, static_cast<std::size_t>(std::count_if(first, simulation.m_receivedAttempts.end(), isInWindow)));
+    }
+    CHECK(static_cast<double>(most) <= Rate * Window + burst);
+}
+
 TEST_CASE("regression: hosts register in a store without any transaction")
 {
     // Such a store has version 0, which was mistaken for a table that hasn't been read yet.
--- a/tests/limits/tokenbucket.cpp
+++ b/tests/limits/tokenbucket.cpp
@@ -74,6 +74,84 @@
     CHECK(assignRetryDelay(bucket, seconds(1), Start + seconds(60)) == milliseconds(0));
 }
 
+namespace {
+
+/// Buckets of one limit on many hosts, each with an equal share, and times at which a request was admitted.
+struct SharedLimit {
+    SharedLimit(std::size_t hosts, double rate, double burst)
+    {
+        for (std::size_t i = 0; i < hosts; ++i) {
+            m_buckets.push_back(makeBucket(rate, burst, 1.0 / static_cast<double>(hosts)));
+            m_buckets.back().m_phase = (static_cast<double>(i) + 0.5) / static_cast<double>(hosts);
+        }
+    }
+
+    /// Offers a request to each host once in each interval.
+    void offerToAll(TimePoint from, Duration duration)
+    {
+        constexpr Duration Interval = milliseconds(50);
+        for (TimePoint now = from; now < from + duration; now += Interval) {
+            for (TokenBucket &bucket : m_buckets) {
+                if (takeToken(bucket, now)) {
+                    m_admittedAt.push_back(now);
+                }
+            }
+        }
+    }
+
+    /// Returns the greatest number of requests that were admitted within a window.
+    [[nodiscard]] std::size_t mostAdmitted(Duration window) const
+    {
+        std::size_t most = 0;
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < m_admittedAt.size(); ++last) {
+            while (m_admittedAt[last] - m_admittedAt[first] > window) {
+                ++first;
+            }
+            most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    std::vector<TokenBucket> m_buckets;
+    std::vector<TimePoint> m_admittedAt;
+};
+
+}
+
+// Guards against one whole token on each host, however small its share of the burst is.
+TEST_CASE("regression: more hosts than tokens of a burst admitted a request each at the same time")
+{
+    constexpr double Rate = 14.0;
+    constexpr double Burst = 14.0;
+    constexpr double Window = 5.0; // seconds
+    const auto hosts = GENERATE(15U, 48U, 442U);
+    SharedLimit limit(hosts, Rate, Burst);
+    CAPTURE(hosts);
+
+    SECTION("after a time without requests")
+    {
+        limit.offerToAll(Start + seconds(60), seconds(1));
+        CHECK(limit.m_admittedAt.size() <= Rate * 1.0 + Burst + 1.0);
+        CHECK(limit.m_admittedAt.size() >= Rate * 1.0);
+    }
+    SECTION("under constant load")
+    {
+        limit.offerToAll(Start, seconds(60));
+        CHECK(limit.mostAdmitted(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Window))) <= Rate * Window + Burst + 1.0);
+        CHECK(limit.m_admittedAt.size() >= 0.95 * Rate * 60.0); // The whole rate is of use, however small the shares are.
+    }
+}
+
+TEST_CASE("a bucket with a burst below one token admits requests at its rate")
+{
+    TokenBucket bucket = makeBucket(1.0, 0.0, 1.0);
+    CHECK_FALSE(takeToken(bucket, Start));
+    CHECK(takeToken(bucket, Start + seconds(1)));
+    CHECK_FALSE(takeToken(bucket, Start + seconds(1)));
+    CHECK(takeToken(bucket, Start + seconds(60)));
+}
+
 TEST_CASE("consumed tokens")
 {
     rc::prop("never exceed rate and burst in any period, regardless of changes of the share", [](const std::vector<std::uint8_t> &steps) {
