Bound the responses of the store that a host holds

Answers of backend servers are bounded here already (EndlessResponse plays eight forms). Answers of the store were not: the client left the body in the parser until it was whole or the call timed out, seconds later.

Change: the client takes the body as it arrives and ends the call, with a reason in the log, from 8 MiB on.

--- a/include/ragwortrelay/loop/storeclient.h
+++ b/include/ragwortrelay/loop/storeclient.h
@@ -35,6 +35,7 @@
     std::string m_address; ///< Address of the store in the form `IP:PORT`.
     Duration m_connectTimeout{std::chrono::milliseconds(500)}; ///< Time limit for connecting.
     Duration m_timeout{std::chrono::milliseconds(900)}; ///< Time limit of a call, in addition to the time that the call asks the store to wait.
+    std::size_t m_maxResponseBytes = 8U << 20U; ///< Size of the body from which a response counts as invalid.
     TcpTimeouts m_tcpTimeouts{1500, 1, 1, 2};
 };
 
@@ -54,10 +55,14 @@
         Store::Call m_call;
         std::shared_ptr<ClientConnection> m_connection;
         std::unique_ptr<asio::steady_timer> m_timer;
+        std::string m_body; ///< Part of the response's body that has arrived.
     };
 
     [[nodiscard]] std::shared_ptr<ClientConnection> takeIdleConnection();
     void onResponse(Host::StoreCallId id, ResponseEvent event);
+    /// Takes the part of the body that has arrived, and ends the call if the body is too large.
+    void onProgress(Host::StoreCallId id, PendingCall &pending);
+    void onResponseComplete(Host::StoreCallId id, const PendingCall &pending);
     void onTimeout(Host::StoreCallId id);
     void finish(Host::StoreCallId id, const Store::Result &result);
     void releaseConnection(const std::shared_ptr<ClientConnection> &connection);
--- a/src/loop/storeclient.cpp
+++ b/src/loop/storeclient.cpp
@@ -29,7 +29,7 @@
         head.m_headers.push_back({"Content-Length", std::to_string(request.m_body.size())});
         body = std::make_shared<const std::string>(request.m_body);
     }
-    PendingCall pending{call, takeIdleConnection(), std::make_unique<asio::steady_timer>(m_context)};
+    PendingCall pending{call, takeIdleConnection(), std::make_unique<asio::steady_timer>(m_context), {}};
     const bool isNew = pending.m_connection == nullptr;
     if (isNew) {
         pending.m_connection = std::make_shared<ClientConnection>(m_context, nullptr, m_settings.m_tcpTimeouts);
@@ -65,16 +65,35 @@
 void StoreClient::onResponse(Host::StoreCallId id, ResponseEvent event)
 {
     const auto found = m_pendingCalls.find(id);
-    if (found == m_pendingCalls.end() || event == ResponseEvent::Progress) {
+    if (found == m_pendingCalls.end()) {
         return;
     }
-    const std::shared_ptr<ClientConnection> connection = found->second.m_connection;
-    if (event == ResponseEvent::Failed) {
-        const std::string reason = Dispatch::toString(connection->failure());
-        return finish(id, connection->hasSent() ? Store::Result(Store::NoResponse{reason}) : Store::Result(Store::Refused{reason}));
+    switch (event) {
+    case ResponseEvent::Progress:
+        return onProgress(id, found->second);
+    case ResponseEvent::Whole:
+        return onResponseComplete(id, found->second);
+    case ResponseEvent::Failed: {
+        const ClientConnection &connection = *found->second.m_connection;
+        const std::string reason = Dispatch::toString(connection.failure());
+        return finish(id, connection.hasSent() ? Store::Result(Store::NoResponse{reason}) : Store::Result(Store::Refused{reason}));
     }
-    const std::uint16_t status = connection->reader().head().m_status;
-    const Store::Result result = m_format.m_decode(found->second.m_call, status, connection->reader().takeBody());
+    }
+}
+
+void StoreClient::onProgress(Host::StoreCallId id, PendingCall &pending)
+{
+    pending.m_body += pending.m_connection->reader().takeBody();
+    if (pending.m_body.size() > m_settings.m_maxResponseBytes) {
+        pending.m_connection->close();
+        finish(id, Store::NoResponse{"the response is too large"});
+    }
+}
+
+void StoreClient::onResponseComplete(Host::StoreCallId id, const PendingCall &pending)
+{
+    const std::shared_ptr<ClientConnection> connection = pending.m_connection;
+    const Store::Result result = m_format.m_decode(pending.m_call, connection->reader().head().m_status, pending.m_body);
     releaseConnection(connection);
     finish(id, result);
 }
