Make a leader's messages cost less of its processor

Cause: the leader has half a core and spent it on loops over all hosts and all servers for each message: leases added up for each datagram, silent followers looked for, the attempts of all servers compared with each heartbeat, reports on all servers made for each heartbeat's reply, versions of all followers compared at each heartbeat. Replies came after their askers had decided alone, with a thousandth of each limit.

Change: leases are added up when one of them changes or ends; silent followers are looked for ten times a second; a heartbeat is compared with the placements granted to its sender; reports on servers are made once in 100 ms; versions are compared when one has changed or a follower is gone.

--- a/include/ragwortrelay/fleet/leadership.h
+++ b/include/ragwortrelay/fleet/leadership.h
@@ -46,6 +46,15 @@
     friend bool operator==(const Follower &, const Follower &) = default;
 };
 
+/// Sum of the leases that a leader holds. It stays true until a lease ends or a follower changes.
+struct LeaseSum {
+    double m_fractions = 0.0; ///< Sum of the leased fractions of the registered followers' own shares.
+    std::size_t m_followers = 0; ///< Number of followers whose lease is running.
+    TimePoint m_validUntil{}; ///< Earliest end of a lease in the sum; the sum has to be taken again from then on.
+
+    friend bool operator==(const LeaseSum &, const LeaseSum &) = default;
+};
+
 /// Latest heartbeat received from another host.
 struct Contact {
     Duration m_sentAt{}; ///< Time of sending by the other host's clock.
@@ -71,6 +80,8 @@
     std::optional<TimePoint> m_acknowledgedAt; ///< Time of the last reply from the present leader.
     std::map<HostId, TimePoint> m_silentUntil; ///< Silent hosts and the times at which they are tried again.
     std::map<HostId, Follower> m_followers;
+    LeaseSum m_leases; ///< Sum over m_followers. Functions that change m_followers reset it; tick() takes it again.
+    TimePoint m_nextFollowerCheckAt{}; ///< Next check for followers that have fallen silent.
     std::map<HostId, Contact> m_contacts;
     std::vector<HostId> m_discoveryTargets; ///< Hosts to be asked whom they follow.
     HostId m_leaseHolder; ///< Leader to which this host last leased its own share.
@@ -119,7 +130,7 @@
 /// of this host's heartbeats.
 std::optional<TimePoint> writtenAfter(const Heartbeat &heartbeat);
 
-/// Returns the share of all limits that this host may hand out, 0 to 1.
+/// Returns the share of all limits that this host may hand out, 0 to 1. Constant in the followers between a tick() and the next heartbeat.
 double shareOf(const Leadership &leadership, TimePoint now);
 
 /// Returns whether a follower has leased its whole share to this host, so that it counts for no other leader.
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -211,6 +211,12 @@
     std::set<Dispatch::Fingerprint> m_quarantinedRequests;
 };
 
+/// Suspected servers that a leader reports to its followers.
+struct SuspicionReports {
+    TimePoint m_madeAt{};
+    std::vector<Fleet::SuspicionReport> m_reports;
+};
+
 /// Crashes that hosts report to one another, so that they are known after a change of the leader.
 struct CrashReplication {
     std::vector<Scheduling::RecordedCrash> m_replicated; ///< Crashes reported by the leader, which this host may succeed.
@@ -242,6 +248,7 @@
     bool m_hasHadQuorum = false; ///< This process has been in touch with most of the registered hosts.
     TimePoint m_seedsContactedAt{}; ///< Last heartbeat sent to the seeds.
     StoreReaders m_storeReaders;
+    SuspicionReports m_suspicionReports;
     CrashReplication m_crashReplication;
     std::string m_secret; ///< Secret of the fleet.
     Registration m_registration;
--- a/include/ragwortrelay/scheduling/serverregistry.h
+++ b/include/ragwortrelay/scheduling/serverregistry.h
@@ -187,9 +187,8 @@
 /// Records that a request of a service was refused because no server could take it.
 void recordRefusal(ServerRegistry &registry, const ServerSelectionSettings &settings, const ServiceId &service, TimePoint now);
 
-/// Removes the attempts of a host that started before a point in time and that it no longer names as running.
-/// @param running numbers of the placements that run on the host
-void reconcile(ServerRegistry &registry, const HostId &host, const std::vector<std::uint64_t> &running, TimePoint startedBefore);
+/// Removes a running attempt of which no report will come. An unknown one is ignored.
+void forgetAttempt(ServerRegistry &registry, const ServerId &server, const PlacementId &id);
 
 /// Counts attempts that run for much longer than usual as evidence against their servers. Linear in the running attempts.
 /// @param domains failure domains of the requesting hosts
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -29,6 +29,7 @@
     }
     leadership.m_leader = leader;
     leadership.m_followers.clear();
+    leadership.m_leases = {};
     leadership.m_unacknowledged = 0;
     leadership.m_undecidedReplies = 0;
     leadership.m_acknowledgedAt.reset();
@@ -40,6 +41,41 @@
     leadership.m_nextDiscoveryAt = now;
 }
 
+/// Adds up the leases of the followers. Linear in their number.
+LeaseSum sumOfLeases(const Leadership &leadership, TimePoint now)
+{
+    LeaseSum sum;
+    sum.m_validUntil = TimePoint::max();
+    for (const auto &[host, follower] : leadership.m_followers) {
+        if (now < follower.m_leasedUntil) {
+            sum.m_fractions += follower.m_isRegistered ? follower.m_leasedFraction : 0.0;
+            ++sum.m_followers;
+            sum.m_validUntil = std::min(sum.m_validUntil, follower.m_leasedUntil);
+        }
+    }
+    return sum;
+}
+
+/// Returns the sum of the leases, which is only taken again if the last one is no longer true.
+LeaseSum leasesOf(const Leadership &leadership, TimePoint now)
+{
+    return now < leadership.m_leases.m_validUntil ? leadership.m_leases : sumOfLeases(leadership, now);
+}
+
+/// Removes the followers that have fallen silent.
+void removeSilentFollowers(Leadership &leadership, TimePoint now)
+{
+    constexpr Duration CheckInterval = std::chrono::milliseconds(100);
+    if (now < leadership.m_nextFollowerCheckAt) {
+        return;
+    }
+    leadership.m_nextFollowerCheckAt = now + CheckInterval;
+    const auto isSilentFollower = [&](const auto &entry) { return now - entry.second.m_heardAt > leadership.m_settings.m_followerTimeout; };
+    if (std::erase_if(leadership.m_followers, isSilentFollower) > 0) {
+        leadership.m_leases = {};
+    }
+}
+
 /// Follows the first host of the ranking that isn't silent, which may be this one.
 void followHighestRanked(Leadership &leadership, TimePoint now)
 {
@@ -75,6 +111,7 @@
 
 void updateFollower(Leadership &leadership, const HostId &from, Incarnation incarnation, const Heartbeat &heartbeat, TimePoint now)
 {
+    leadership.m_leases = {};
     Follower &follower = leadership.m_followers[from];
     if (follower.m_incarnation != incarnation) {
         follower = {};
@@ -231,6 +268,7 @@
     for (auto &[host, follower] : leadership.m_followers) {
         follower.m_isRegistered = members.contains(host);
     }
+    leadership.m_leases = {};
     const bool hasNoFollowers = isLeader(leadership) && leadership.m_followers.empty();
     if (hasNoFollowers || !isKnown(leadership, leadership.m_leader)) {
         followHighestRanked(leadership, now);
@@ -244,7 +282,8 @@
         leadership.m_discoveryTargets.clear();
         return tickFollower(leadership, random, now);
     }
-    std::erase_if(leadership.m_followers, [&](const auto &entry) { return now - entry.second.m_heardAt > leadership.m_settings.m_followerTimeout; });
+    removeSilentFollowers(leadership, now);
+    leadership.m_leases = leasesOf(leadership, now);
     if (now >= leadership.m_nextDiscoveryAt) {
         discoverLeaders(leadership, random, now);
     }
@@ -295,8 +334,8 @@
     if (heartbeat.m_leader == leadership.m_self) {
         updateFollower(leadership, from, incarnation, heartbeat, now);
         expediteHeartbeat(leadership, now); // Another host considers this one the leader, so this host's own leader may be gone.
-    } else {
-        leadership.m_followers.erase(from);
+    } else if (leadership.m_followers.erase(from) > 0) {
+        leadership.m_leases = {};
     }
     if (from == leadership.m_leader && !isLeader(leadership)) {
         applyLeaderHeartbeat(leadership, from, heartbeat, now);
@@ -340,10 +379,7 @@
         const bool isLeased = now < leadership.m_leaseExpiresAt;
         return (isLeased ? leadership.m_settings.m_retainedFraction : 1.0) / hostCount;
     }
-    double shares = availableFraction(leadership, leadership.m_self, now);
-    for (const auto &[host, follower] : leadership.m_followers) {
-        shares += follower.m_isRegistered && now < follower.m_leasedUntil ? follower.m_leasedFraction : 0.0;
-    }
+    const double shares = availableFraction(leadership, leadership.m_self, now) + leasesOf(leadership, now).m_fractions;
     return std::min(1.0, shares / hostCount);
 }
 
@@ -359,10 +395,7 @@
 
 std::size_t followersOf(const Leadership &leadership, TimePoint now)
 {
-    if (!isLeader(leadership)) {
-        return 0;
-    }
-    return static_cast<std::size_t>(std::ranges::count_if(leadership.m_followers, [&](const auto &entry) { return now < entry.second.m_leasedUntil; }));
+    return isLeader(leadership) ? leasesOf(leadership, now).m_followers : 0;
 }
 
 TimePoint nextTickAt(const Leadership &leadership)
--- a/src/host/fleet.cpp
+++ b/src/host/fleet.cpp
@@ -26,19 +26,24 @@
     return positions;
 }
 
-std::vector<Fleet::SuspicionReport> suspicionReports(const State &state, TimePoint now)
+/// Updates the reports on suspected servers if they have become too old. Linear in the servers.
+void updateSuspicionReports(State &state, TimePoint now)
 {
-    std::vector<Fleet::SuspicionReport> reports;
+    constexpr Duration Interval = std::chrono::milliseconds(100);
+    SuspicionReports &reports = state.m_suspicionReports;
+    if (now - reports.m_madeAt < Interval) {
+        return;
+    }
+    reports = {now, {}};
     const Health::SuspicionSettings &settings = state.m_settings.m_scheduling.m_selection.m_suspicion;
     for (const auto &[id, server] : state.m_scheduler.m_registry.m_servers) {
         for (const auto &[domain, suspicion] : server.m_suspicion.m_byDomain) {
             const double value = Health::valueAt(settings, suspicion, now);
-            if (value >= MinReportedSuspicion && reports.size() < MaxSuspicionReports) {
-                reports.push_back({id, domain, value});
+            if (value >= MinReportedSuspicion && reports.m_reports.size() < MaxSuspicionReports) {
+                reports.m_reports.push_back({id, domain, value});
             }
         }
     }
-    return reports;
 }
 
 /// Returns the servers that have announced that they are leaving, as far as the other hosts can't read it from the table of the servers.
@@ -83,7 +88,8 @@
         heartbeat.m_hasQuorum = hasQuorum(state, now);
         heartbeat.m_isStoreReader = state.m_storeReaders.m_appointed.contains(request.m_host);
         if (state.m_leadership.m_followers.contains(request.m_host)) {
-            heartbeat.m_suspicions = suspicionReports(state, now);
+            updateSuspicionReports(state, now);
+            heartbeat.m_suspicions = state.m_suspicionReports.m_reports;
             heartbeat.m_quarantined = Scheduling::quarantinedRequests(state.m_scheduler, now);
             heartbeat.m_leaving = leavingReports(state);
         }
@@ -178,6 +184,27 @@
     }
 }
 
+/// Returns the version of the last change of the configuration that a follower has reported; nothing if it has reported none.
+std::optional<std::uint64_t> reportedConfiguration(const State &state, const HostId &follower)
+{
+    const auto tables = state.m_followerTables.find(follower);
+    if (tables == state.m_followerTables.end() || tables->second.m_reported.empty()) {
+        return std::nullopt;
+    }
+    return tables->second.m_reported.front().m_changed;
+}
+
+/// Stores the positions that a follower reports. What follows from the positions of all is only updated if they have changed.
+void recordFollowerTables(State &state, const HostId &from, const Heartbeat &heartbeat)
+{
+    const auto before = reportedConfiguration(state, from);
+    state.m_followerTables[from] = {heartbeat.m_tables, {}};
+    const bool hasLostFollowers = state.m_followerTables.size() != state.m_leadership.m_followers.size();
+    if (hasLostFollowers || reportedConfiguration(state, from) != before) {
+        updateMinConfigurationVersion(state);
+    }
+}
+
 /// Applies the state of the rollout that the leader reports.
 void applyRollout(State &state, const Heartbeat &heartbeat)
 {
@@ -209,8 +236,7 @@
     }
     if (heartbeat.m_leader == state.m_settings.m_host) {
         constexpr Duration StartGrace = std::chrono::milliseconds(300);
-        state.m_followerTables[from] = {heartbeat.m_tables, {}};
-        updateMinConfigurationVersion(state);
+        recordFollowerTables(state, from, heartbeat);
         updateStoreReader(state, from, heartbeat, now);
         Scheduling::reconcile(state.m_scheduler, from, heartbeat.m_running, now - StartGrace);
     }
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -186,9 +186,11 @@
     for (auto granted = first; granted != scheduler.m_granted.end() && granted->first.m_host == host;) {
         const bool isNamed = std::ranges::find(running, granted->first.m_number) != running.end();
         const bool isLost = granted->second.m_grantedAt < startedBefore && !isNamed;
+        if (isLost) {
+            forgetAttempt(scheduler.m_registry, granted->second.m_server, granted->first);
+        }
         granted = isLost ? scheduler.m_granted.erase(granted) : std::next(granted);
     }
-    reconcile(scheduler.m_registry, host, running, startedBefore);
 }
 
 void recordCrash(Scheduler &scheduler, const RecordedCrash &crash)
--- a/src/scheduling/serverregistry.cpp
+++ b/src/scheduling/serverregistry.cpp
@@ -328,13 +328,11 @@
     }
 }
 
-void reconcile(ServerRegistry &registry, const HostId &host, const std::vector<std::uint64_t> &running, TimePoint startedBefore)
+void forgetAttempt(ServerRegistry &registry, const ServerId &server, const PlacementId &id)
 {
-    for (auto &[id, state] : registry.m_servers) {
-        std::erase_if(state.m_running, [&](const RunningAttempt &attempt) {
-            const bool isNamed = std::ranges::find(running, attempt.m_id.m_number) != running.end();
-            return attempt.m_id.m_host == host && attempt.m_startedAt < startedBefore && !isNamed;
-        });
+    const auto found = registry.m_servers.find(server);
+    if (found != registry.m_servers.end()) {
+        removeRunning(found->second, id);
     }
 }
 
@@ -342,6 +340,9 @@
 {
     constexpr int OverdueFactor = 5;
     for (auto &[id, state] : registry.m_servers) {
+        if (state.m_running.empty()) {
+            continue;
+        }
         const ServiceState &service = registry.m_services[state.m_server.m_service];
         for (RunningAttempt &running : state.m_running) {
             const auto domain = domains.find(running.m_id.m_host);
