Wait for a leader that is slow as long as it usually takes

Cause: a host waited 40 ms for any leader and then decided with a thousandth of each limit. A leader that took longer worked for nobody, and the questions that were asked again and the late grants that were given back kept it slow.

Change: a host keeps a moving average of the leader's reply time and its variation (RFC 6298) and waits accordingly, 400 ms and half of the time that the request can spare at most. After three timeouts in a row it doesn't ask for a while, with backoff and jitter, so an overloaded leader gets less to do.

--- a/include/ragwortrelay/detail/host/handlers.h
+++ b/include/ragwortrelay/detail/host/handlers.h
@@ -123,7 +123,10 @@
 
 // Messages from the leader
 
-void onPlacementQueued(State &state, const HostId &from, const Fleet::PlacementQueued &queued);
+void onPlacementQueued(State &state, const HostId &from, const Fleet::PlacementQueued &queued, TimePoint now);
+
+/// Updates the reply time of the leader by its first message about a placement.
+void recordLeaderReply(State &state, const PendingPlacement &pending, TimePoint now);
 
 // Claims
 
--- a/include/ragwortrelay/detail/scheduling/placement.h
+++ b/include/ragwortrelay/detail/scheduling/placement.h
@@ -17,9 +17,6 @@
 /// Grants a server to a placement and records the start of its attempt.
 PlacementReply grant(Scheduler &scheduler, const PlacementRequest &placement, const ServerId &server, const Requester &requester, TimePoint now);
 
-/// Returns the usual latency of a service; zero for an unknown service.
-Duration usualTimeOf(const Scheduler &scheduler, const ServiceId &service);
-
 /// Returns the queue entry of a placement that has to wait. Thread-safe.
 QueuedPlacement makeQueuedPlacement(const PlacementRequest &placement, const Requester &requester, double startTag, TimePoint now);
 
--- a/include/ragwortrelay/host/settings.h
+++ b/include/ragwortrelay/host/settings.h
@@ -4,6 +4,7 @@
 #include <ragwortrelay/core/time.h>
 #include <ragwortrelay/dispatch/claimledger.h>
 #include <ragwortrelay/fleet/leadership.h>
+#include <ragwortrelay/fleet/replytimeout.h>
 #include <ragwortrelay/scheduling/scheduler.h>
 
 #include <chrono>
@@ -18,7 +19,7 @@
 struct PlacementSettings {
     Duration m_resendBackoff{
         std::chrono::milliseconds(15)}; ///< First pause before an unanswered placement request is sent again; each further pause is twice as long.
-    Duration m_leaderTimeout{std::chrono::milliseconds(40)}; ///< Time without a reply of the leader after which the host decides by itself.
+    Fleet::ReplyTimeoutSettings m_leaderTimeout; ///< Time without a reply of the leader after which the host decides by itself.
     Duration m_exhaustedHold{std::chrono::milliseconds(100)}; ///< Time for which a host sends no requests for a workspace that is over its limit.
     Duration m_askInterval{std::chrono::milliseconds(250)}; ///< Interval between two requests for a placement that the leader has queued.
 
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -117,6 +117,7 @@
     Scheduling::PlacementRequest m_placement;
     HostId m_leader; ///< Host that was asked; empty when the placement waits in the queue of this host.
     TimePoint m_sentAt;
+    TimePoint m_decideAt; ///< Time at which the host decides by itself if the leader hasn't replied.
     unsigned m_unacknowledged = 0; ///< Number of times the request was sent since the last message of the leader about it.
     bool m_isQueued = false; ///< The leader has queued the placement and replies later.
 };
@@ -240,6 +241,7 @@
     Fleet::Membership m_membership;
     TimePoint m_membershipChangedAt{};
     Fleet::Leadership m_leadership;
+    Fleet::ReplyTimeout m_leaderTimeout; ///< Reply time of the present leader to placement requests.
     std::map<HostId, FollowerTables> m_followerTables;
     std::uint64_t m_minConfigurationVersion =
         0; ///< Lowest version of the configuration on the hosts that send heartbeats to the leader, as reported by the leader.
--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -143,6 +143,9 @@
 /// Returns the replies to waiting placements that can be granted now or have to be refused.
 std::vector<AddressedReply> serve(Scheduler &scheduler, RandomGenerator &random, TimePoint now);
 
+/// Returns the usual latency of a service; zero for an unknown service.
+Duration usualTimeOf(const Scheduler &scheduler, const ServiceId &service);
+
 /// Returns the latest time at which serve() has to be called next.
 TimePoint nextServeAt(const Scheduler &scheduler);
 
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -299,6 +299,9 @@
         }
         return;
     }
+    if (!leader.isEmpty()) {
+        recordLeaderReply(state, pending->second, now);
+    }
     const ExchangeId id = pending->second.m_exchange;
     const AttemptKind purpose = pending->second.m_placement.m_purpose;
     state.m_placements.erase(pending);
--- a/src/host/fleet.cpp
+++ b/src/host/fleet.cpp
@@ -149,20 +149,21 @@
 
 void logLeaderChange(const State &state, const HostId &before, TimePoint now, Actions &actions)
 {
-    if (state.m_leadership.m_leader != before) {
-        log(actions,
-            LogLine("leader-changed")
-                .with("leader", state.m_leadership.m_leader.text())
-                .with("before", before.text())
-                .with("share", std::to_string(Fleet::shareOf(state.m_leadership, now))));
-    }
+    log(actions,
+        LogLine("leader-changed")
+            .with("leader", state.m_leadership.m_leader.text())
+            .with("before", before.text())
+            .with("share", std::to_string(Fleet::shareOf(state.m_leadership, now))));
 }
 
 void onLeaderChanged(State &state, const HostId &before, TimePoint now, Actions &actions)
 {
+    if (state.m_leadership.m_leader == before) {
+        return;
+    }
     logLeaderChange(state, before, now, actions);
-    const bool isLeading = Fleet::isLeader(state.m_leadership);
-    if (state.m_leadership.m_leader != before && isLeading) {
+    state.m_leaderTimeout = {};
+    if (Fleet::isLeader(state.m_leadership)) {
         state.m_leadingSince = now;
         state.m_followerTables.clear();
         adoptReplicatedCrashes(state);
@@ -270,7 +271,7 @@
             } else if constexpr (std::is_same_v<Type, Scheduling::PlacementRequest>) {
                 onPlacementRequest(state, from, alternative, now, actions);
             } else if constexpr (std::is_same_v<Type, Fleet::PlacementQueued>) {
-                onPlacementQueued(state, from, alternative);
+                onPlacementQueued(state, from, alternative, now);
             } else if constexpr (std::is_same_v<Type, Scheduling::PlacementReply>) {
                 onPlacementReply(state, from, alternative, now, actions);
             } else if constexpr (std::is_same_v<Type, Scheduling::AttemptReport>) {
--- a/src/host/placements.cpp
+++ b/src/host/placements.cpp
@@ -92,20 +92,34 @@
     }
 }
 
-/// Returns when to check again a placement that was sent just now. The interval doubles with each resend. A leader that is known to be slow gets no resend, as
-/// it may be overloaded.
+/// Returns how long to wait for the leader's reply to a placement request: as long as it usually takes, and at most half of the time that the request can spend
+/// before it misses its latency objective.
+Duration leaderTimeoutOf(const State &state, const PlacementRequest &placement)
+{
+    const Fleet::ReplyTimeoutSettings &settings = state.m_settings.m_placements.m_leaderTimeout;
+    const Duration spare = placement.m_objectiveLeft - Scheduling::usualTimeOf(state.m_scheduler, placement.m_service);
+    return std::min(Fleet::waitFor(state.m_leaderTimeout, settings), std::max(settings.m_minTimeout, spare / 2));
+}
+
+/// Tells whether the leader usually takes longer to reply than a lost datagram is waited for. It may be overloaded.
+bool isLeaderSlow(const State &state)
+{
+    const Duration resendBackoff = state.m_settings.m_placements.m_resendBackoff;
+    return state.m_leadership.m_replyTime > resendBackoff || state.m_leaderTimeout.m_smoothed.value_or(Duration(0)) > resendBackoff;
+}
+
+/// Returns when to check again a placement that was sent just now. The interval doubles with each resend. A leader that is known to be slow gets no resend.
 TimePoint nextCheckAt(const State &state, const PendingPlacement &pending, TimePoint now)
 {
     const PlacementSettings &settings = state.m_settings.m_placements;
     if (pending.m_isQueued) {
         return now + settings.m_askInterval;
     }
-    const TimePoint decideAt = pending.m_sentAt + settings.m_leaderTimeout;
-    if (state.m_leadership.m_replyTime > settings.m_resendBackoff) {
-        return decideAt;
+    if (isLeaderSlow(state)) {
+        return pending.m_decideAt;
     }
     const TimePoint resendAt = now + settings.m_resendBackoff * (1U << (pending.m_unacknowledged - 1));
-    return std::min(decideAt, resendAt);
+    return std::min(pending.m_decideAt, resendAt);
 }
 
 /// Sends a placement request to the leader, for the first time or again, and schedules the next check.
@@ -150,8 +164,8 @@
     const PlacementRequest placement = placementRequestFor(state, exchange, purpose, now);
     exchange.m_placement = placement.m_number;
     PendingPlacement &pending = state.m_placements[placement.m_number];
-    pending = {id, placement, {}, now, 0, false};
-    if (!hasLeader(state)) {
+    pending = {id, placement, {}, now, now + leaderTimeoutOf(state, placement), 0, false};
+    if (!hasLeader(state) || Fleet::isPaused(state.m_leaderTimeout, now)) {
         return decideLocally(state, pending, now, actions);
     }
     pending.m_leader = state.m_leadership.m_leader;
@@ -188,20 +202,31 @@
     }
     PendingPlacement &pending = found->second;
     const bool hasLeaderChanged = pending.m_leader != state.m_leadership.m_leader;
-    const bool isTimedOut =
-        pending.m_isQueued ? pending.m_unacknowledged > MaxUnacknowledged : now - pending.m_sentAt >= state.m_settings.m_placements.m_leaderTimeout;
+    const bool isTimedOut = pending.m_isQueued ? pending.m_unacknowledged > MaxUnacknowledged : now >= pending.m_decideAt;
     if (!hasLeaderChanged && !isTimedOut) {
         return sendToLeader(state, pending, now);
     }
     Reporting::count(state.m_counters, "draws_unanswered");
+    if (!hasLeaderChanged) {
+        state.m_leaderTimeout = Fleet::afterTimeout(state.m_leaderTimeout, state.m_settings.m_placements.m_leaderTimeout, state.m_random, now);
+    }
     Fleet::expediteHeartbeat(state.m_leadership, now);
     decideLocally(state, pending, now, actions);
 }
 
-void onPlacementQueued(State &state, const HostId &from, const Fleet::PlacementQueued &queued)
+void recordLeaderReply(State &state, const PendingPlacement &pending, TimePoint now)
+{
+    const bool isMeasurable = !pending.m_isQueued && pending.m_unacknowledged == 1; // Otherwise it isn't known which datagram is answered.
+    if (isMeasurable) {
+        state.m_leaderTimeout = Fleet::afterReply(state.m_leaderTimeout, now - pending.m_sentAt);
+    }
+}
+
+void onPlacementQueued(State &state, const HostId &from, const Fleet::PlacementQueued &queued, TimePoint now)
 {
     const auto pending = state.m_placements.find(queued.m_number);
     if (pending != state.m_placements.end() && pending->second.m_leader == from) {
+        recordLeaderReply(state, pending->second, now);
         pending->second.m_isQueued = true;
         pending->second.m_unacknowledged = 0;
     }
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -63,12 +63,6 @@
     return {placement.m_number, server, {}, {}, {}};
 }
 
-Duration usualTimeOf(const Scheduler &scheduler, const ServiceId &service)
-{
-    const auto found = scheduler.m_registry.m_services.find(service);
-    return found == scheduler.m_registry.m_services.end() ? Duration(0) : found->second.m_usualTime;
-}
-
 QueuedPlacement makeQueuedPlacement(const PlacementRequest &placement, const Requester &requester, double startTag, TimePoint now)
 {
     return {placement, requester, now, now + placement.m_timeLeft, now + placement.m_objectiveLeft, startTag};
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -262,6 +262,12 @@
     return responses;
 }
 
+Duration usualTimeOf(const Scheduler &scheduler, const ServiceId &service)
+{
+    const auto found = scheduler.m_registry.m_services.find(service);
+    return found == scheduler.m_registry.m_services.end() ? Duration(0) : found->second.m_usualTime;
+}
+
 TimePoint nextServeAt(const Scheduler &scheduler)
 {
     TimePoint next = scheduler.m_awaitingTokens.empty() ? TimePoint::max() : scheduler.m_nextTokenCheckAt;
--- a/tests/host/requests.cpp
+++ b/tests/host/requests.cpp
@@ -211,6 +211,35 @@
     CHECK(simulation.m_responses.at(id).m_isForwarded);
 }
 
+// Guards against a fleet whose leader answers every question after its asker has decided alone, with a small part of each limit.
+TEST_CASE("regression: no host used the replies of a leader that was slow")
+{
+    constexpr int Hosts = 10;
+    constexpr int RequestsPerSecond = 40;
+    FleetSimulation simulation(5);
+    simulation.m_source = fakeSource();
+    writeConfiguration(simulation, 1, nlohmann::json::array({workspace("w1", RequestsPerSecond * 5 / 4, RequestsPerSecond)}));
+    writeServers(simulation, 20);
+    simulation.startHosts(Hosts);
+    simulation.run(seconds(4));
+    simulation.m_peerDelay = milliseconds(40); // 80 ms from a request to its reply.
+    const auto send = [&](int count) {
+        std::vector<Host::ExchangeId> ids;
+        for (int i = 0; i < count; ++i) {
+            ids.push_back(simulation.request(HostId("h" + std::to_string(i % Hosts + 1)), "/keyed/" + std::to_string(i), "w1"));
+            simulation.run(Duration(seconds(1)) / RequestsPerSecond);
+        }
+        return ids;
+    };
+    send(4 * RequestsPerSecond); // The hosts learn the reply time.
+    const std::size_t first = simulation.m_receivedAttempts.size();
+    const auto ids = send(4 * RequestsPerSecond);
+    simulation.run(seconds(1));
+    const auto isServed = [&](Host::ExchangeId id) { return simulation.m_responses.contains(id) && simulation.m_responses.at(id).m_isForwarded; };
+    CHECK(std::ranges::count_if(ids, isServed) >= static_cast<std::ptrdiff_t>(0.95 * 4 * RequestsPerSecond));
+    CHECK(simulation.m_receivedAttempts.size() > first);
+}
+
 TEST_CASE("regression: a response that arrived while the host was suspended is forwarded although the deadline is over")
 {
     // The timer of the deadline was handled before the response was read.
--- a/tests/scheduling/scheduler.cpp
+++ b/tests/scheduling/scheduler.cpp
@@ -129,6 +129,31 @@
     }
 }
 
+TEST_CASE("slots of placements that their host no longer names")
+{
+    SingleServerScheduler single(1, 1000);
+    const auto first = single.requestPlacement();
+    REQUIRE((first && first->m_server));
+    single.m_now += milliseconds(50);
+    REQUIRE_FALSE(single.requestPlacement()); // It waits for the slot.
+    const TimePoint later = single.m_now + milliseconds(1);
+
+    SECTION("become free")
+    {
+        reconcile(single.m_scheduler, Self.m_host, {}, later);
+        CHECK(single.m_scheduler.m_granted.empty());
+        CHECK(single.serveAfter(milliseconds(50)).size() == 1);
+    }
+    SECTION("stay in use while the host names them, for other hosts, and if they were granted later")
+    {
+        reconcile(single.m_scheduler, Self.m_host, {first->m_number}, later);
+        reconcile(single.m_scheduler, HostId("h2"), {}, later);
+        reconcile(single.m_scheduler, Self.m_host, {}, single.m_now - milliseconds(50));
+        CHECK(single.m_scheduler.m_granted.size() == 1);
+        CHECK(single.serveAfter(milliseconds(50)).empty());
+    }
+}
+
 TEST_CASE("regression: a queue is checked after its interval or a freed slot, not at each event")
 {
     // Checking all waiting placements at each event delayed the replies of the leader.
