Read the tables from the store before a change can be late

Cause: a host whose leader passes nothing on asks the store when its tables are 3 s old, and a random time of up to 1.2 s later. The users' bound is 3 s.

Change: from 2.4 s on, with up to 0.4 s of jitter: later than the age that tables reach between two heartbeats, earlier than the bound with a call.

--- a/include/ragwortrelay/host/settings.h
+++ b/include/ragwortrelay/host/settings.h
@@ -31,9 +31,9 @@
     Duration m_maxAgeForWorkspaces{std::chrono::milliseconds(4700)}; ///< Maximum age of the configuration for requests of workspaces.
     Duration m_maxAgeForRejection{std::chrono::milliseconds(1900)}; ///< Maximum age of the configuration for rejecting an unknown key or route.
     Duration m_leaderStaleAge{std::chrono::milliseconds(1000)}; ///< Age of its tables at which a leader appoints store readers among its followers.
-    Duration m_staleAge{std::chrono::milliseconds(3000)}; ///< Age of the configuration or the servers at which a host watches the store itself.
+    Duration m_staleAge{std::chrono::milliseconds(2400)}; ///< Age of the configuration or the servers at which a host watches the store itself.
     Duration m_staleHostsAge{std::chrono::milliseconds(8000)}; ///< Age of the table of hosts at which a host watches the store itself.
-    Duration m_staleJitter{std::chrono::milliseconds(1200)}; ///< Random delay added to both ages, so that hosts don't all call the store at the same time.
+    Duration m_staleJitter{std::chrono::milliseconds(400)}; ///< Random delay added to both ages, so that hosts don't all call the store at the same time.
     Duration m_leaderFreshAge{std::chrono::milliseconds(1300)}; ///< Age of the leader's table below which a host stops watching the store itself.
     Duration m_minConfirmationGain{std::chrono::milliseconds(700)}; ///< Difference in age from which a newer confirmation is sent to the leader at once.
     std::size_t m_maxStoreReaders = 3; ///< Maximum number of store readers at a time.
--- a/tests/host/fleet.cpp
+++ b/tests/host/fleet.cpp
@@ -181,6 +181,23 @@
     CHECK(static_cast<double>(most) <= Rate * Window + burst);
 }
 
+// Guards against requests that are handled by an older configuration because a late leader hasn't passed on the new one.
+TEST_CASE("regression: a host without a confirmation of its tables for nearly three seconds hadn't asked the store")
+{
+    FleetSimulation simulation(static_cast<std::uint64_t>(GENERATE(range(1, 9))));
+    startStableFleet(simulation, 6, 4);
+    simulation.run(seconds(2));
+    const HostId follower = simulation.follower();
+    Host::State &state = simulation.m_hosts.at(follower);
+    for (const Fleet::TableKind kind : {Fleet::TableKind::Configuration, Fleet::TableKind::Servers}) {
+        Host::ReplicatedTable &table = state.m_tables[static_cast<std::size_t>(kind)];
+        REQUIRE_FALSE(table.m_isWatched);
+        table.m_replica.m_confirmedAt = simulation.m_now - milliseconds(2900);
+        simulation.deliver(follower, Host::TimerExpired{});
+        CHECK(table.m_isWatched);
+    }
+}
+
 TEST_CASE("regression: hosts register in a store without any transaction")
 {
     // Such a store has version 0, which was mistaken for a table that hasn't been read yet.
