Don't send a change again to followers whose heartbeats it has crossed

Cause: each heartbeat that was written before the change arrived made the leader pack, compress and send the whole change to that host again. A leader that gets behind so receives more such heartbeats.

A configuration that has arrived is reported at once only where an operator's edit waits for it.

--- a/include/ragwortrelay/detail/host/handlers.h
+++ b/include/ragwortrelay/detail/host/handlers.h
@@ -209,7 +209,13 @@
 TimePoint nextSeedsAt(const State &state);
 
 /// Sends the changes of a table to the followers that lack them, or to the leader.
-void propagateChanges(State &state, Fleet::TableKind kind);
+void propagateChanges(State &state, Fleet::TableKind kind, TimePoint now);
+
+/// Compares the table positions of both hosts and sends the other one the changes that it lacks.
+void compareTables(State &state, const HostId &from, const Fleet::Heartbeat &heartbeat, TimePoint now);
+
+/// Stores the table positions that a follower reports. What follows from the positions of all is only updated if they have changed.
+void recordFollowerTables(State &state, const HostId &from, const Fleet::Heartbeat &heartbeat);
 
 /// Queues a message for another host; it is sent at the end of handle().
 void sendTo(State &state, const HostId &host, Fleet::Message message);
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -140,12 +140,19 @@
     std::uint64_t m_subject = 0; ///< Number of the operator's command or of the call of a claim.
 };
 
+/// Changes of a table in the form in which they are sent, by the version that the receiver knows.
+struct PreparedDeltas {
+    std::uint64_t m_version = 0; ///< Version of the replica for which they were made.
+    std::map<std::uint64_t, std::vector<Fleet::DeltaPart>> m_parts;
+};
+
 /// A table of the store that a host keeps up to date.
 struct ReplicatedTable {
     Fleet::TableReplica m_replica;
     Store::TableWatcher m_watcher;
     std::uint64_t m_appliedVersion = 0; ///< Version of the last change that was applied.
     bool m_isWatched = false; ///< This host currently watches the table in the store.
+    PreparedDeltas m_preparedDeltas; ///< Changes that were sent since the replica's last version.
     Fleet::ReplicaPosition m_leaderPosition; ///< Position of the leader's replica by its last heartbeat.
 };
 
@@ -174,10 +181,16 @@
     std::map<Operators::CommandId, PendingReport> m_reports;
 };
 
+/// Changes of a table that were last sent to a follower.
+struct SentChanges {
+    std::uint64_t m_version = 0; ///< Version of the last of them.
+    TimePoint m_unconfirmedSince{}; ///< Time since which some of them aren't shown by the follower's heartbeats.
+};
+
 /// Positions of a follower's table replicas.
 struct FollowerTables {
     std::vector<Fleet::ReplicaPosition> m_reported; ///< Positions reported by the follower.
-    std::array<std::uint64_t, Fleet::TableKinds> m_sent{}; ///< Versions up to which changes have been sent since that report.
+    std::array<SentChanges, Fleet::TableKinds> m_sent{}; ///< Changes that were last sent to it.
 };
 
 /// Progress of this host's registration in the store.
--- a/src/host/fleet.cpp
+++ b/src/host/fleet.cpp
@@ -103,13 +103,6 @@
 
 namespace {
 
-void sendDelta(State &state, const HostId &host, TableKind kind, const Fleet::ReplicaPosition &theirs)
-{
-    for (Fleet::DeltaPart &part : Fleet::deltaFor(tableOf(state, kind).m_replica, kind, theirs)) {
-        sendTo(state, host, std::move(part));
-    }
-}
-
 void applySuspicionReports(State &state, const Heartbeat &heartbeat, TimePoint now)
 {
     for (const Fleet::SuspicionReport &report : heartbeat.m_suspicions) {
@@ -127,26 +120,6 @@
     }
 }
 
-/// Compares the table positions of both hosts and sends the other one the changes that it lacks.
-void compareTables(State &state, const HostId &from, const Heartbeat &heartbeat)
-{
-    if (heartbeat.m_tables.size() != Fleet::TableKinds) {
-        return;
-    }
-    const auto writtenAt = Fleet::writtenAfter(heartbeat);
-    for (std::size_t i = 0; i < Fleet::TableKinds; ++i) {
-        const Fleet::ReplicaPosition &theirs = heartbeat.m_tables[i];
-        ReplicatedTable &table = state.m_tables[i];
-        if (writtenAt) {
-            Fleet::applyConfirmation(table.m_replica, theirs, *writtenAt - theirs.m_age);
-        }
-        if (from == state.m_leadership.m_leader) {
-            table.m_leaderPosition = theirs;
-        }
-        sendDelta(state, from, static_cast<TableKind>(i), theirs);
-    }
-}
-
 void logLeaderChange(const State &state, const HostId &before, TimePoint now, Actions &actions)
 {
     log(actions,
@@ -170,42 +143,6 @@
     }
 }
 
-/// Updates the lowest configuration version and the number of reachable hosts while this host leads.
-void updateMinConfigurationVersion(State &state)
-{
-    constexpr auto Configuration = static_cast<std::size_t>(TableKind::Configuration);
-    std::erase_if(state.m_followerTables, [&](const auto &entry) { return !state.m_leadership.m_followers.contains(entry.first); });
-    state.m_minConfigurationVersion = state.m_tables[Configuration].m_replica.m_changed;
-    state.m_reachableHosts = 1;
-    for (const auto &[host, tables] : state.m_followerTables) {
-        if (tables.m_reported.size() == Fleet::TableKinds) {
-            state.m_minConfigurationVersion = std::min(state.m_minConfigurationVersion, tables.m_reported[Configuration].m_changed);
-            ++state.m_reachableHosts;
-        }
-    }
-}
-
-/// Returns the version of the last change of the configuration that a follower has reported; nothing if it has reported none.
-std::optional<std::uint64_t> reportedConfiguration(const State &state, const HostId &follower)
-{
-    const auto tables = state.m_followerTables.find(follower);
-    if (tables == state.m_followerTables.end() || tables->second.m_reported.empty()) {
-        return std::nullopt;
-    }
-    return tables->second.m_reported.front().m_changed;
-}
-
-/// Stores the positions that a follower reports. What follows from the positions of all is only updated if they have changed.
-void recordFollowerTables(State &state, const HostId &from, const Heartbeat &heartbeat)
-{
-    const auto before = reportedConfiguration(state, from);
-    state.m_followerTables[from] = {heartbeat.m_tables, {}};
-    const bool hasLostFollowers = state.m_followerTables.size() != state.m_leadership.m_followers.size();
-    if (hasLostFollowers || reportedConfiguration(state, from) != before) {
-        updateMinConfigurationVersion(state);
-    }
-}
-
 /// Applies the state of the rollout that the leader reports.
 void applyRollout(State &state, const Heartbeat &heartbeat)
 {
@@ -227,7 +164,7 @@
     if (!hadAcknowledgement && state.m_leadership.m_acknowledgedAt) {
         log(actions, LogLine("leader-found").with("leader", state.m_leadership.m_leader.text()));
     }
-    compareTables(state, from, heartbeat);
+    compareTables(state, from, heartbeat, now);
     applyLeavingReports(state, from, heartbeat, now, actions);
     if (from == state.m_leadership.m_leader) {
         onLeaderHeard(state, incarnation, now);
@@ -252,8 +189,8 @@
         return;
     }
     onTableChanged(state, part.m_table, now, actions);
-    propagateChanges(state, part.m_table);
-    if (part.m_table == TableKind::Configuration) {
+    propagateChanges(state, part.m_table, now);
+    if (part.m_table == TableKind::Configuration && state.m_source.m_hasOperatorTable) {
         Fleet::expediteHeartbeat(state.m_leadership, now); // The next heartbeat reports to the leader that this host has the change.
     }
 }
@@ -366,35 +303,6 @@
     }
 }
 
-void propagateChanges(State &state, TableKind kind)
-{
-    const auto index = static_cast<std::size_t>(kind);
-    if (!Fleet::isLeader(state.m_leadership)) {
-        if (state.m_tables[index].m_isWatched) {
-            sendDelta(state, state.m_leadership.m_leader, kind, state.m_tables[index].m_leaderPosition);
-        }
-        return;
-    }
-    const Fleet::TableReplica &table = state.m_tables[index].m_replica;
-    std::map<std::uint64_t, std::vector<Fleet::DeltaPart>> delta; // By the version that the receivers know, which is the same for most followers.
-    for (auto &[host, tables] : state.m_followerTables) {
-        if (tables.m_reported.size() != Fleet::TableKinds || !state.m_leadership.m_followers.contains(host)) {
-            continue;
-        }
-        Fleet::ReplicaPosition known = tables.m_reported[index];
-        known.m_version = std::max(known.m_version, tables.m_sent[index]);
-        const auto [parts, isNew] = delta.try_emplace(known.m_version);
-        if (isNew) {
-            parts->second = Fleet::deltaFor(table, kind, known);
-        }
-        for (const Fleet::DeltaPart &part : parts->second) {
-            sendTo(state, host, part);
-        }
-        tables.m_sent[index] = table.m_version; // The next heartbeat of the follower shows whether the message was lost.
-    }
-    updateMinConfigurationVersion(state);
-}
-
 void tickFleet(State &state, TimePoint now, Actions &actions)
 {
     const HostId leaderBefore = state.m_leadership.m_leader;
--- a/src/host/tables.cpp
+++ b/src/host/tables.cpp
@@ -244,7 +244,7 @@
     alignOtherWatchers(state, table.m_watcher, failuresBefore, now);
     if (Fleet::applyStoreUpdate(table.m_replica, table.m_watcher, outcome)) {
         onTableChanged(state, kind, now, actions);
-        propagateChanges(state, kind);
+        propagateChanges(state, kind, now);
     }
     const bool isEmptyTable = kind == TableKind::Configuration && state.m_source.m_hasOperatorTable && !state.m_catalogue && table.m_replica.m_confirmedAt;
     if (isEmptyTable) {
--- a/tests/fakes/fleetsimulation.h
+++ b/tests/fakes/fleetsimulation.h
@@ -238,6 +238,7 @@
     std::vector<ServedAttempt> m_receivedAttempts;
     std::map<HostId, bool> m_ready;
     std::map<std::pair<HostId, HostId>, std::size_t> m_datagrams; ///< Number of datagrams sent, by sender and receiver.
+    std::map<HostId, std::size_t> m_deltaParts; ///< Number of parts of table changes sent, by sender.
     std::set<HostId> m_exited;
     std::vector<std::pair<HostId, Reporting::LogLine>> m_log;
     TimePoint m_now{std::chrono::seconds(1000)};
@@ -339,6 +340,8 @@
     {
         const HostId to = m_addresses.contains(message.m_address) ? m_addresses.at(message.m_address) : HostId();
         ++m_datagrams[{host, to}];
+        const auto isDelta = [](const Fleet::Message &part) { return std::holds_alternative<Fleet::DeltaPart>(part); };
+        m_deltaParts[host] += static_cast<std::size_t>(std::ranges::count_if(message.m_datagram.m_messages, isDelta));
         if (m_partitions.contains({host, to}) || randomUnit(m_random) < m_lossChance) {
             return;
         }
--- a/tests/host/fleet.cpp
+++ b/tests/host/fleet.cpp
@@ -198,6 +198,31 @@
     }
 }
 
+// Guards against changes that a late leader sends again with each heartbeat that was written before they arrived, which made it later still.
+TEST_CASE("regression: a leader sent a change again to followers whose heartbeats it had crossed")
+{
+    constexpr int Hosts = 60;
+    FleetSimulation simulation(7);
+    simulation.m_source = fakeSource();
+    auto workspaces = nlohmann::json::array();
+    for (unsigned i = 0; i < 2000; ++i) {
+        workspaces.push_back(workspace("workspace-" + std::to_string(simulation.m_random()), i + 1, i + 1));
+    }
+    writeConfiguration(simulation, 1, workspaces);
+    writeServers(simulation, 4);
+    simulation.startHosts(Hosts);
+    simulation.run(seconds(6));
+    const HostId leader = simulation.leader();
+    REQUIRE_FALSE(leader.isEmpty());
+    const std::size_t before = simulation.m_deltaParts[leader];
+    simulation.m_peerDelay = milliseconds(300); // Heartbeats that were written before the change arrived reach the leader for 0.6 s.
+    writeConfiguration(simulation, 2, workspaces);
+    simulation.run(milliseconds(600));
+    const std::size_t parts = Fleet::deltaFor(simulation.state(leader).m_tables[0].m_replica, Fleet::TableKind::Configuration, {}).size();
+    REQUIRE(parts > 10);
+    CHECK(simulation.m_deltaParts[leader] - before <= Hosts * parts);
+}
+
 TEST_CASE("regression: hosts register in a store without any transaction")
 {
     // Such a store has version 0, which was mistaken for a table that hasn't been read yet.
