Use each healthy server of a service that fails requests

Operators saw 7 of 15 healthy servers of a service without requests for 2 s while 30 of 203 requests weren't served, and 3 of 8 on another deployment.

Cause: the scheduler limited unused servers to a share of all servers. Unhealthy servers count in that share, so with few healthy ones the unused servers could be mostly healthy. Requests refused over a limit didn't count as not served, so the service wasn't taken for failing. A trusted unused server without a free slot hid the others that were due.

Now a failing service uses each server after 1.6 s, or 1.9 s after a failure; first attempts of idempotent requests try each server after 1.4 s; in a service that isn't failing, non-idempotent requests go to untrusted servers only beyond a quarter of all servers or of the healthy ones. Refusals over a limit count as requests that weren't served.

--- a/include/ragwortrelay/scheduling/serverregistry.h
+++ b/include/ragwortrelay/scheduling/serverregistry.h
@@ -34,12 +34,11 @@
     double m_avoidAbove = 0.3; ///< Probability of being unhealthy above which a server gets only single trial requests.
     double m_floor = 0.7; ///< Share of the usable servers that is never avoided.
     Duration m_trialInterval{std::chrono::milliseconds(1500)}; ///< Interval between trial requests to an avoided server.
-    double m_failingThreshold = 0.085; ///< Share of failed requests above which a service counts as failing.
+    double m_failingThreshold = 0.085; ///< Share of failed and refused requests above which a service counts as failing.
     double m_busyOutcomesPerServer = 2.0; ///< Decayed outcomes per server from which a service has enough requests to use all; see m_outcomeDecayTime.
-    double m_maxUnusedShare = 0.2; ///< Share of the servers of a failing or busy service that may be unused for m_unusedAfter.
-    double m_maxUnusedShareNonIdempotent = 0.25; ///< Share of unused servers above which a busy service also uses non-idempotent requests to reach them.
-    double m_maxUnusedTrustedShare = 0.02; ///< Share of the servers that may be trusted yet unused; small, as using them loses nothing.
+    double m_maxUnusedShare = 0.25; ///< Share of untrusted servers that non-idempotent requests of a service that isn't failing may leave unused.
     double m_trustedThreshold = 0.05; ///< Probability of being unhealthy below which a server is trusted.
+    Duration m_idempotentTrialInterval{std::chrono::milliseconds(1400)}; ///< Time without a request or failure after which idempotent ones try a server.
     Duration m_unusedAfter{std::chrono::milliseconds(1600)}; ///< Time without a request after which a server counts as unused.
     Duration m_recentFailurePeriod{std::chrono::milliseconds(1900)}; ///< Time after a failed request in which a server isn't expected to be used.
     Duration m_recentFailurePeriodUnhealthy{std::chrono::milliseconds(3500)}; ///< Longer period for unhealthy servers of a service that isn't failing.
@@ -184,7 +183,7 @@
 /// Records how an attempt ended. Reports about unregistered servers are ignored.
 void endAttempt(ServerRegistry &registry, const ServerSelectionSettings &settings, const AttemptReport &report, const Requester &requester, TimePoint now);
 
-/// Records that a request of a service was refused because no server could take it.
+/// Records that a request of a service was refused.
 void recordRefusal(ServerRegistry &registry, const ServerSelectionSettings &settings, const ServiceId &service, TimePoint now);
 
 /// Removes a running attempt of which no report will come. An unknown one is ignored.
--- a/src/scheduling/selection.cpp
+++ b/src/scheduling/selection.cpp
@@ -166,39 +166,38 @@
     return failedAt && now - *failedAt < (looksUnhealthy ? settings.m_recentFailurePeriodUnhealthy : settings.m_recentFailurePeriod);
 }
 
-/// Number of servers without recent requests, and the best of them.
+/// Tells whether a server is due for a request that can be sent again. It is due earlier than for others, which then find it used or failed.
+bool isDueForTrial(const ServerSelectionSettings &settings, const ServerState &state, TimePoint now)
+{
+    const bool hasFailedRecently = state.m_lastFailureAt && now - *state.m_lastFailureAt < settings.m_idempotentTrialInterval;
+    return now - state.m_lastUsedAt >= settings.m_idempotentTrialInterval && !hasFailedRecently;
+}
+
+/// Servers without recent requests, and the best of them.
 struct UnusedServers {
-    std::size_t m_count = 0;
-    const Candidate *m_best = nullptr; ///< Server to use first; null if none has a free slot or all were tried.
+    double m_count = 0.0;
+    double m_expectedHealthy = 0.0; ///< Expected number of healthy ones.
+    const Candidate *m_best = nullptr; ///< The least suspect one that can take the request; null if there is none.
 };
 
-/// Finds the servers without recent requests that satisfy a predicate.
-/// @param precedes tells whether the first candidate is to be used before the second
-template<typename Predicate, typename Precedes>
-UnusedServers findUnused(const ServerSelectionSettings &settings,
-                         const std::vector<const Candidate *> &all,
-                         const PlacementRequest &placement,
-                         TimePoint now,
-                         Predicate predicate,
-                         Precedes precedes)
+/// Adds a server without recent requests.
+void addUnused(UnusedServers &unused, const Candidate &candidate, const PlacementRequest &placement, TimePoint now)
 {
-    UnusedServers unused;
-    for (const Candidate *candidate : all) {
-        const ServerState &state = *candidate->m_state;
-        if (now - state.m_lastUsedAt < settings.m_unusedAfter || !predicate(*candidate)) {
-            continue;
-        }
-        ++unused.m_count;
-        const bool isBetter = unused.m_best == nullptr || precedes(*candidate, *unused.m_best);
-        if (isBetter && hasFreeSlot(state, now) && !contains(placement.m_excluded, state.m_server.m_id)) {
-            unused.m_best = candidate;
-        }
+    unused.m_count += 1.0;
+    unused.m_expectedHealthy += 1.0 - candidate.m_unhealthyProbability;
+    const ServerState &state = *candidate.m_state;
+    const bool isBetter = unused.m_best == nullptr || candidate.m_unhealthyProbability < unused.m_best->m_unhealthyProbability;
+    if (isBetter && hasFreeSlot(state, now) && !contains(placement.m_excluded, state.m_server.m_id)) {
+        unused.m_best = &candidate;
     }
-    return unused;
 }
 
-/// Returns a server without recent requests if a failing or busy service has too many of them; otherwise null. Neither avoiding unhealthy
-/// servers nor preferring cheap ones may leave healthy servers unused. Trusted servers go first.
+/// Returns a server without recent requests if a failing or busy service must use it; otherwise null. Neither avoiding unhealthy servers
+/// nor preferring cheap ones may leave healthy servers unused. The least suspect goes first.
+///
+/// A failing service uses each of its servers, and so do requests that can be sent again. A limit on the share of unused servers doesn't
+/// suffice, since unhealthy ones count in it: with few healthy servers, most of them could be among the unused ones. While the service isn't
+/// failing, a request that a failure loses goes to an untrusted server only if too many of all or of the healthy ones are unused.
 const Candidate *selectUnused(
     const ServerSelectionSettings &settings, const std::vector<Candidate> &all, const ServiceState &service, const PlacementRequest &placement, TimePoint now)
 {
@@ -206,24 +205,23 @@
     if (!failing && !isBusy(service, settings, all.size())) {
         return nullptr;
     }
-    std::vector<const Candidate *> expected;
+    const bool isTrial = placement.m_idempotent && placement.m_purpose == AttemptKind::First;
+    UnusedServers unused;
+    double expected = 0.0;
+    double healthy = 0.0;
     for (const Candidate &candidate : all) {
-        if (!isExemptFromUse(settings, candidate, failing, now)) {
-            expected.push_back(&candidate);
+        const bool isExempt = isExemptFromUse(settings, candidate, failing, now);
+        const bool isUnused = !isExempt && now - candidate.m_state->m_lastUsedAt >= settings.m_unusedAfter;
+        expected += isExempt ? 0.0 : 1.0;
+        healthy += 1.0 - candidate.m_unhealthyProbability;
+        if (isTrial ? isDueForTrial(settings, *candidate.m_state, now) : isUnused) {
+            addUnused(unused, candidate, placement, now);
         }
     }
-    const auto isTrusted = [&](const Candidate &candidate) { return candidate.m_unhealthyProbability < settings.m_trustedThreshold; };
-    const auto isUnusedForLonger = [](const Candidate &left, const Candidate &right) { return left.m_state->m_lastUsedAt < right.m_state->m_lastUsedAt; };
-    const UnusedServers trusted = findUnused(settings, expected, placement, now, isTrusted, isUnusedForLonger);
-    if (static_cast<double>(trusted.m_count) > settings.m_maxUnusedTrustedShare * static_cast<double>(expected.size())) {
-        return trusted.m_best;
-    }
-    const auto isAny = [](const Candidate &) { return true; };
-    const auto isLessSuspect = [](const Candidate &left, const Candidate &right) { return left.m_unhealthyProbability < right.m_unhealthyProbability; };
-    const UnusedServers any = findUnused(settings, expected, placement, now, isAny, isLessSuspect);
-    const bool mayRiskFailure = failing || placement.m_idempotent;
-    const double maxUnused = (mayRiskFailure ? settings.m_maxUnusedShare : settings.m_maxUnusedShareNonIdempotent) * static_cast<double>(expected.size());
-    return static_cast<double>(any.m_count) > maxUnused ? any.m_best : nullptr;
+    const bool mustUseAny =
+        failing || isTrial || unused.m_count > settings.m_maxUnusedShare * expected || unused.m_expectedHealthy > settings.m_maxUnusedShare * healthy;
+    const bool isTrusted = unused.m_best != nullptr && unused.m_best->m_unhealthyProbability < settings.m_trustedThreshold;
+    return mustUseAny || isTrusted ? unused.m_best : nullptr;
 }
 
 }
--- a/src/scheduling/tokens.cpp
+++ b/src/scheduling/tokens.cpp
@@ -48,6 +48,7 @@
 
 PlacementReply refuseOverLimit(Scheduler &scheduler, const PlacementRequest &placement, TimePoint now)
 {
+    recordRefusal(scheduler.m_registry, scheduler.m_settings.m_selection, placement.m_service, now);
     const auto wait = Limits::assignRetryDelay(scheduler.m_buckets.at(placement.m_workspace), MaxRetryAfter, now);
     return refusal(placement, RefusalReason::OverLimit, wait.value_or(MaxRetryAfter));
 }
--- a/tests/scheduling/scheduler.cpp
+++ b/tests/scheduling/scheduler.cpp
@@ -93,6 +93,7 @@
         const auto refused = scheduling.requestPlacement();
         REQUIRE(refused);
         CHECK(refused->m_reason == RefusalReason::OverLimit);
+        CHECK(scheduling.m_scheduler.m_registry.m_services.at(Desk).m_failures == 2.0); // Else a service that refuses many leaves servers unused.
     }
     SECTION("is refused if it would miss its latency objective")
     {
--- a/tests/scheduling/serverregistry.cpp
+++ b/tests/scheduling/serverregistry.cpp
@@ -165,9 +165,8 @@
     SECTION("selects a server again some time after it was slow")
     {
         ServerSelectionSettings selectionSettings = settings;
-        selectionSettings.m_maxUnusedShare = 1.0; // Selects no server for having been unused.
-        selectionSettings.m_maxUnusedShareNonIdempotent = 1.0;
-        selectionSettings.m_maxUnusedTrustedShare = 1.0;
+        selectionSettings.m_unusedAfter = std::chrono::hours(24); // Selects no server for having been unused.
+        selectionSettings.m_idempotentTrialInterval = std::chrono::hours(24);
         for (std::uint64_t i = 1; i <= 20; ++i) {
             AttemptReport slowReport = reportOf(2 * i, ServerId("s2"), AttemptEnd::Succeeded);
             slowReport.m_elapsed = milliseconds(900);
