Evacuate failure domains by rows of the platform's operator

Callers saw: requests went on to servers of a failure domain after the operator had written its row evacuate/ZONE, since nothing read such rows.

Each host derives the evacuated domains from its replica of the table of the configuration, whenever that changes, and marks their servers. They get no first attempts, retries, hedges or trials, don't count as usable, and grants are checked again when an attempt starts. A service without another usable server refuses its requests at once as not run, with Retry-After, also those that wait for a token or a slot. The set is derived from the whole replica, not from the changed rows: a row in one change with a malformed configuration would be lost otherwise. A selection from a large service skips evacuated servers in its sample, which could consist of them alone.

Log lines domain-evacuated and domain-restored, gauges domains_evacuated and servers with use evacuated.

--- a/include/ragwortrelay/detail/scheduling/placement.h
+++ b/include/ragwortrelay/detail/scheduling/placement.h
@@ -14,6 +14,10 @@
 /// Refuses a placement that no server can take, and records its request as failed. A refused hedge is not recorded, as its request already runs.
 PlacementReply refuse(Scheduler &scheduler, const PlacementRequest &placement, RefusalReason reason, Duration retryAfter, TimePoint now);
 
+/// Refuses a placement whose service has no usable server left because failure domains are evacuated. Its request isn't recorded as failed, as that tells
+/// nothing about the servers. Thread-safe.
+PlacementReply refuseEvacuated(const PlacementRequest &placement);
+
 /// Grants a server to a placement and records the start of its attempt.
 PlacementReply grant(Scheduler &scheduler, const PlacementRequest &placement, const ServerId &server, const Requester &requester, TimePoint now);
 
--- a/include/ragwortrelay/detail/scheduling/servers.h
+++ b/include/ragwortrelay/detail/scheduling/servers.h
@@ -4,8 +4,8 @@
 
 namespace RagwortRelay::Scheduling::detail {
 
-/// Tells whether a server may get new requests: it isn't draining and its weight is positive. Thread-safe on a state that doesn't change, like all
-/// functions in this file.
+/// Tells whether a server may get new requests: it isn't draining, its failure domain isn't evacuated and its weight is positive. Thread-safe on a state that
+/// doesn't change, like all functions in this file.
 bool isUsable(const ServerState &state, TimePoint now);
 
 /// Tells whether a server has a free slot and hasn't just shed a request.
--- a/include/ragwortrelay/host/configurationsource.h
+++ b/include/ragwortrelay/host/configurationsource.h
@@ -21,6 +21,7 @@
     std::string m_configurationTable;
     std::string m_serverTable; ///< Table of the backend servers; may be the table of the configuration.
     std::string m_hostTable = "ragwortrelay-hosts"; ///< Table in which hosts register.
+    std::string m_evacuationPrefix; ///< Prefix of the configuration rows that evacuate a failure domain; the rest of the name is the domain. Empty for none.
     bool m_hasOperatorTable = false; ///< The configuration is the operators' table, which operators edit through the hosts.
     /// Applies changed rows to a catalogue. Returns whether the catalogue has changed; an error leaves it unchanged.
     tl::expected<bool, Error> (*m_updateCatalogue)(Configuration::Catalogue &catalogue, const ChangedRows &changed) = nullptr;
--- a/include/ragwortrelay/scheduling/serverregistry.h
+++ b/include/ragwortrelay/scheduling/serverregistry.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,7 @@
     std::optional<TimePoint> m_fullUntil; ///< End of the time in which the server counts as full after it shed a request.
     std::optional<TimePoint> m_drainingUntil; ///< End of the time in which the server gets nothing after it announced draining.
     bool m_isLeaving = false; ///< The server has announced that it is leaving, which holds until it restarts.
+    bool m_isEvacuated = false; ///< The failure domain of the server is evacuated.
     TimePoint m_warmupEndsAt; ///< End of the warm-up period.
     TimePoint m_lastTrialAt{}; ///< Last start of a request while the server was avoided.
     TimePoint m_lastUsedAt{}; ///< Last start of a request.
@@ -118,6 +120,7 @@
     std::map<ServerId, ServerState> m_servers;
     std::map<ServiceId, ServiceState> m_services;
     std::map<ServerId, LeavingNotice> m_leaving; ///< Servers that have announced that they are leaving.
+    std::set<FailureDomainId> m_evacuatedDomains; ///< Failure domains whose servers get no attempts.
 };
 
 /// Adds or updates a listed server. A change of its service, address or incarnation makes it another server, with no history.
@@ -125,6 +128,14 @@
 /// @return whether it replaces another server, whose connections must not be reused
 bool setServer(ServerRegistry &registry, const Configuration::Server &server, TimePoint now);
 
+/// Sets the evacuated failure domains. No attempt starts on their servers, which don't count as usable for the floor of their service either; running
+/// attempts go on. Linear in the servers.
+void setEvacuatedDomains(ServerRegistry &registry, const std::set<FailureDomainId> &domains);
+
+/// Tells whether a service has no usable server because failure domains are evacuated. Constant time while none is evacuated, otherwise linear in the
+/// servers of the service. Thread-safe on a registry that doesn't change.
+bool isServiceEvacuated(const ServerRegistry &registry, const ServiceId &service, TimePoint now);
+
 /// Removes a server. Returns whether it was registered.
 bool eraseServer(ServerRegistry &registry, const ServerId &id);
 
--- a/src/host/metrics.cpp
+++ b/src/host/metrics.cpp
@@ -13,7 +13,7 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-/// Counts the servers of each service by their use: draining, avoided as probably unhealthy, or healthy.
+/// Counts the servers of each service by their use: evacuated, draining, avoided as probably unhealthy, or healthy.
 void addServers(Reporting::Gauges &gauges, const State &state, TimePoint now)
 {
     const Scheduling::ServerSelectionSettings &settings = state.m_settings.m_scheduling.m_selection;
@@ -21,7 +21,8 @@
         const double unhealthyProbability =
             Health::unhealthyProbability(settings.m_suspicion, server.m_suspicion, state.m_settings.m_host, state.m_settings.m_domain, now);
         const bool isDraining = Scheduling::isDraining(server, now);
-        const char *use = isDraining ? "leaving" : (unhealthyProbability > settings.m_avoidAbove ? "suspect" : "sound");
+        const char *health = unhealthyProbability > settings.m_avoidAbove ? "suspect" : "sound";
+        const char *use = server.m_isEvacuated ? "evacuated" : (isDraining ? "leaving" : health);
         gauges["servers{service=\"" + server.m_server.m_service.text() + "\",use=\"" + use + "\"}"] += 1.0;
     }
 }
@@ -54,6 +55,7 @@
     if (age) {
         gauges["configuration_age_seconds"] = secondsOf(*age);
     }
+    gauges["domains_evacuated"] = static_cast<double>(state.m_scheduler.m_registry.m_evacuatedDomains.size());
     gauges["servers_paused"] =
         static_cast<double>(std::ranges::count_if(state.m_pauses.m_pauses, [&](const auto &entry) { return now < entry.second.m_until; }));
     addServers(gauges, state, now);
--- a/src/host/servernotices.cpp
+++ b/src/host/servernotices.cpp
@@ -58,7 +58,8 @@
     const Scheduling::ServerRegistry &registry = state.m_scheduler.m_registry;
     const auto registered = registry.m_servers.find(server);
     const bool isDraining = registered == registry.m_servers.end() ? Scheduling::isLeaving(registry, server) : Scheduling::isDraining(registered->second, now);
-    return !isDraining && Scheduling::mayStart(state.m_pauses, registry, server, now);
+    const bool isEvacuated = registered != registry.m_servers.end() && registered->second.m_isEvacuated;
+    return !isDraining && !isEvacuated && Scheduling::mayStart(state.m_pauses, registry, server, now);
 }
 
 std::optional<std::uint64_t> leavingIncarnation(const State &state, const ServerId &server)
--- a/src/host/tables.cpp
+++ b/src/host/tables.cpp
@@ -47,12 +47,60 @@
     Scheduling::setServices(state.m_scheduler, *state.m_catalogue);
 }
 
+/// Returns the failure domains that rows of the configuration evacuate. Reads the whole replica rather than its changes, so that a row counts in whichever
+/// order it became known.
+std::set<FailureDomainId> evacuatedDomains(const Fleet::TableReplica &table, const std::string &prefix)
+{
+    std::set<FailureDomainId> domains;
+    for (auto row = table.m_rows.lower_bound(prefix); row != table.m_rows.end() && row->first.starts_with(prefix); ++row) {
+        if (!row->second.m_erased && row->first.size() > prefix.size()) {
+            domains.insert(FailureDomainId(row->first.substr(prefix.size())));
+        }
+    }
+    return domains;
+}
+
+LogLine evacuationLine(const State &state, const char *event, const FailureDomainId &domain)
+{
+    const auto isInDomain = [&](const auto &entry) { return entry.second.m_server.m_domain == domain; };
+    const auto servers = std::ranges::count_if(state.m_scheduler.m_registry.m_servers, isInDomain);
+    return LogLine(event)
+        .with("domain", domain.text())
+        .with("servers", static_cast<std::int64_t>(servers))
+        .with("table_version", static_cast<std::int64_t>(tableOf(state, TableKind::Configuration).m_replica.m_changed));
+}
+
+/// Applies the evacuations of failure domains. They don't depend on whether the configuration in the same table is readable or newer.
+void applyEvacuations(State &state, Actions &actions)
+{
+    if (state.m_source.m_evacuationPrefix.empty()) {
+        return;
+    }
+    const std::set<FailureDomainId> before = state.m_scheduler.m_registry.m_evacuatedDomains;
+    const std::set<FailureDomainId> after = evacuatedDomains(tableOf(state, TableKind::Configuration).m_replica, state.m_source.m_evacuationPrefix);
+    if (after == before) {
+        return;
+    }
+    Scheduling::setEvacuatedDomains(state.m_scheduler.m_registry, after);
+    for (const FailureDomainId &domain : after) {
+        if (!before.contains(domain)) {
+            log(actions, evacuationLine(state, "domain-evacuated", domain));
+        }
+    }
+    for (const FailureDomainId &domain : before) {
+        if (!after.contains(domain)) {
+            log(actions, evacuationLine(state, "domain-restored", domain));
+        }
+    }
+}
+
 /// Applies the changes of the configuration unless they are older than the configuration in force.
 void applyConfiguration(State &state, TimePoint now, Actions &actions)
 {
     ReplicatedTable &table = tableOf(state, TableKind::Configuration);
     const ChangedRows rows = Fleet::changedSince(table.m_replica, table.m_appliedVersion);
     table.m_appliedVersion = table.m_replica.m_changed;
+    applyEvacuations(state, actions);
     if (state.m_source.m_hasOperatorTable) {
         Configuration::updateTable(state.m_operatorTable, rows);
     }
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -9,6 +9,9 @@
 /// Shortest retry delay that a refusal suggests to a caller.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(50);
 
+/// Retry delay that is suggested to a caller while a service has no usable server.
+constexpr Duration NoServerRetryAfter = std::chrono::milliseconds(500);
+
 /// Charges a retry or a hedge to the retry budget of its service; a first attempt adds to the budget.
 /// @return the refusal, or nothing if the attempt is allowed
 std::optional<PlacementReply> takeFromRetryBudget(Scheduler &scheduler, const PlacementRequest &placement, TimePoint now)
@@ -56,6 +59,11 @@
     return refusal(placement, reason, retryAfter);
 }
 
+PlacementReply refuseEvacuated(const PlacementRequest &placement)
+{
+    return refusal(placement, RefusalReason::NoServer, NoServerRetryAfter);
+}
+
 PlacementReply grant(Scheduler &scheduler, const PlacementRequest &placement, const ServerId &server, const Requester &requester, TimePoint now)
 {
     startAttempt(scheduler.m_registry, scheduler.m_settings.m_selection, placement, server, requester, now);
@@ -108,7 +116,7 @@
             return grant(scheduler, placement, *server, requester, now);
         }
         if (server.error() == SelectionFailure::NoServer) {
-            return refuse(scheduler, placement, RefusalReason::NoServer, std::chrono::milliseconds(500), now);
+            return refuse(scheduler, placement, RefusalReason::NoServer, NoServerRetryAfter, now);
         }
     }
     return enqueue(scheduler, placement, requester, now);
--- a/src/scheduling/queueing.cpp
+++ b/src/scheduling/queueing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace RagwortRelay::Scheduling::detail {
 
@@ -103,6 +104,12 @@
     Scheduler &scheduler, const ServiceId &service, PlacementQueue &queue, RandomGenerator &random, TimePoint now, std::vector<AddressedReply> &responses)
 {
     constexpr std::size_t MaxBlocked = 8; // Bounds the placements tried in one round that find no server.
+    if (isServiceEvacuated(scheduler.m_registry, service, now)) {
+        for (const QueuedPlacement &entry : std::exchange(queue.m_placements, {})) {
+            responses.push_back({entry.m_requester.m_host, refuseEvacuated(entry.m_placement)});
+        }
+        return;
+    }
     refuseExpired(scheduler, service, queue, now, responses);
     if (!hasFreeSlot(scheduler.m_registry, service, now)) {
         return;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -150,6 +150,9 @@
     if (const auto quarantined = quarantineRemaining(scheduler, placement, now)) {
         return refusal(placement, RefusalReason::Quarantined, *quarantined);
     }
+    if (isServiceEvacuated(scheduler.m_registry, placement.m_service, now)) {
+        return refuseEvacuated(placement);
+    }
     switch (takeWorkspaceToken(scheduler, placement, requester, now)) {
     case LimitOutcome::Waits:
         return std::nullopt;
--- a/src/scheduling/selection.cpp
+++ b/src/scheduling/selection.cpp
@@ -60,6 +60,12 @@
     return cost;
 }
 
+bool isEvacuated(const ServerRegistry &registry, const ServerId &server)
+{
+    const auto found = registry.m_servers.find(server);
+    return found != registry.m_servers.end() && found->second.m_isEvacuated;
+}
+
 /// Returns the usable servers to select from: all of a small service; of a large one, a run of the list from a random start, plus the servers
 /// to which the host is connected.
 std::vector<Candidate> candidatesOf(const ServerRegistry &registry,
@@ -82,8 +88,13 @@
             candidates.push_back({&found->second, unhealthyProbability, isConnected});
         }
     };
-    for (std::size_t i = 0; i < std::min(count, settings.m_maxCandidates); ++i) {
+    std::size_t sampled = 0;
+    for (std::size_t i = 0; i < count && sampled < settings.m_maxCandidates; ++i) {
         const ServerId &id = service.m_servers[(start + i) % count];
+        if (isEvacuated(registry, id)) {
+            continue; // Servers are often named after their failure domain: a run of the list could consist of evacuated ones alone.
+        }
+        ++sampled;
         add(id, std::erase(connected, id) > 0);
     }
     std::ranges::sort(connected);
--- a/src/scheduling/serverregistry.cpp
+++ b/src/scheduling/serverregistry.cpp
@@ -175,7 +175,7 @@
 
 bool isUsable(const ServerState &state, TimePoint now)
 {
-    return !isDraining(state, now) && state.m_server.m_weight > 0.0;
+    return !isDraining(state, now) && !state.m_isEvacuated && state.m_server.m_weight > 0.0;
 }
 
 bool hasFreeSlot(const ServerState &state, TimePoint now)
@@ -206,6 +206,7 @@
     }
     const auto [found, isNew] = registry.m_servers.try_emplace(server.m_id);
     found->second.m_server = server;
+    found->second.m_isEvacuated = registry.m_evacuatedDomains.contains(server.m_domain);
     if (isNew) {
         applyLeavingNotice(registry, found->second);
         found->second.m_warmupEndsAt = now + server.m_warmupLeft;
@@ -215,6 +216,25 @@
     return isReplacement;
 }
 
+void setEvacuatedDomains(ServerRegistry &registry, const std::set<FailureDomainId> &domains)
+{
+    registry.m_evacuatedDomains = domains;
+    for (auto &[id, state] : registry.m_servers) {
+        state.m_isEvacuated = domains.contains(state.m_server.m_domain);
+    }
+}
+
+bool isServiceEvacuated(const ServerRegistry &registry, const ServiceId &service, TimePoint now)
+{
+    const auto found = registry.m_services.find(service);
+    if (registry.m_evacuatedDomains.empty() || found == registry.m_services.end()) {
+        return false;
+    }
+    const auto isUsable = [&](const ServerId &id) { return detail::isUsable(registry.m_servers.at(id), now); };
+    const auto isEvacuated = [&](const ServerId &id) { return registry.m_servers.at(id).m_isEvacuated; };
+    return std::ranges::none_of(found->second.m_servers, isUsable) && std::ranges::any_of(found->second.m_servers, isEvacuated);
+}
+
 bool eraseServer(ServerRegistry &registry, const ServerId &id)
 {
     const auto known = registry.m_servers.find(id);
--- a/src/scheduling/tokens.cpp
+++ b/src/scheduling/tokens.cpp
@@ -60,6 +60,11 @@
         while (!waiting.empty()) {
             const QueuedPlacement entry = waiting.front();
             const PlacementRequest placement = withRemainingTime(entry, now);
+            if (isServiceEvacuated(scheduler.m_registry, placement.m_service, now)) {
+                waiting.pop_front();
+                responses.push_back({entry.m_requester.m_host, refuseEvacuated(placement)});
+                continue;
+            }
             const bool isLate = placement.m_timeLeft < usualTimeOf(scheduler, placement.m_service) / 2;
             if (!isLate && bucket != scheduler.m_buckets.end() && !Limits::takeToken(bucket->second, now)) {
                 break;
--- a/tests/fakes/faketables.h
+++ b/tests/fakes/faketables.h
@@ -9,13 +9,14 @@
 /// Configuration source for tests of hosts, with rows in a minimal JSON format. The tests of the real sources cover their formats.
 namespace RagwortRelay::Fakes {
 
-/// Replaces a catalogue by the last changed row if that has a higher version; returns whether it did.
+/// Replaces a catalogue by the changed row `catalogue` if that has a higher version; returns whether it did.
 inline tl::expected<bool, Error> updateFakeCatalogue(Configuration::Catalogue &known, const Host::ChangedRows &changed)
 {
-    if (changed.empty()) {
+    const auto row = std::ranges::find_if(changed, [](const Store::Row *candidate) { return candidate->m_key.m_name == "catalogue"; });
+    if (row == changed.end()) {
         return false;
     }
-    const auto json = nlohmann::json::parse(changed.back()->m_value);
+    const auto json = nlohmann::json::parse((*row)->m_value);
     Configuration::Catalogue catalogue;
     catalogue.m_version = json.at("version").get<std::uint64_t>();
     if (catalogue.m_version <= known.m_version) {
@@ -85,6 +86,7 @@
 {
     Host::ConfigurationSource source;
     source.m_configurationTable = "configuration";
+    source.m_evacuationPrefix = "evacuate/";
     source.m_serverTable = "servers";
     source.m_updateCatalogue = updateFakeCatalogue;
     source.m_serverIdOf = fakeServerIdOf;
