Let listeners and pools own their connections, and survive exceptions

The lifetime of a connection now follows from its owner: the listener, the backend pool or the store client, until close(). Also a TLS shutdown keeps its connection until it ends, and the pool clears its callbacks before callers' connections that outlive it. An exception of one connection, event, action, datagram or response of the store costs only that; it is logged as "exception" and counted.

--- a/include/ragwortrelay/detail/loop/callerconnection.h
+++ b/include/ragwortrelay/detail/loop/callerconnection.h
@@ -15,7 +15,8 @@
 
 /// HTTP connection of a caller, which serves one request at a time. Requests that are sent ahead wait unparsed, up to ReadBufferSize bytes here and the rest
 /// in the kernel. None of them is dispatched before the response to the previous one is written; when that response closes the connection, they
-/// count as unread. Not thread-safe.
+/// count as unread. The listener owns the connection from its start until close(); handlers of operations that end later find it closed. Not
+/// thread-safe.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -51,6 +52,11 @@
         Closing, ///< The last response is written; further input is discarded.
     };
 
+    /// Runs a task, and closes the connection if the task throws.
+    template<typename Task> void guarded(Task &&task);
+    void writeRefusal(const Dispatch::Problem &problem);
+    void writeResponse(const std::shared_ptr<ResponseStream> &stream);
+    void startReading();
     void read();
     void onRead(const ErrorCode &error, std::size_t size);
     void parseInput();
@@ -61,6 +67,7 @@
     void forwardBody();
     void finishResponse();
     void write(std::string bytes);
+    void startWrite();
     void onWritten(const ErrorCode &error);
     void startTimer(Duration timeout);
     void onTimeout();
--- a/include/ragwortrelay/loop/backendpool.h
+++ b/include/ragwortrelay/loop/backendpool.h
@@ -45,6 +45,11 @@
     /// Throws boost::system::system_error when the authority file can't be used.
     BackendPool(asio::io_context &context, const BackendSettings &settings, const Http::HeaderScheme &headerScheme, EventHandler handler);
 
+    /// Closes all connections without reporting their attempts.
+    ~BackendPool();
+    BackendPool(const BackendPool &) = delete;
+    BackendPool &operator=(const BackendPool &) = delete;
+
     /// Starts an attempt, on an idle connection if one is suitable, else on a new one.
     void start(const Host::StartAttempt &action, const CallerRequest &request);
 
--- a/include/ragwortrelay/loop/callerlistener.h
+++ b/include/ragwortrelay/loop/callerlistener.h
@@ -56,6 +56,9 @@
     /// Sends a refusal. Does nothing if the exchange has ended.
     void refuse(Host::ExchangeId exchange, const Dispatch::Problem &problem);
 
+    /// Closes the connection of an exchange without a response. Does nothing if the exchange has ended.
+    void abandon(Host::ExchangeId exchange);
+
     /// Sets the limits for subsequent requests.
     void setLimits(const Configuration::CallerLimits &limits);
 
@@ -78,6 +81,7 @@
     friend class CallerConnection;
 
     void accept();
+    void addConnection(tcp::socket socket);
     void retryAccept();
 
     asio::io_context &m_context;
@@ -87,8 +91,8 @@
     TlsContext m_tls;
     tcp::acceptor m_acceptor;
     asio::steady_timer m_acceptTimer;
-    std::map<CallerConnection *, std::weak_ptr<CallerConnection>> m_connections;
-    std::unordered_map<Host::ExchangeId, CallerConnection *> m_exchanges;
+    std::map<CallerConnection *, std::shared_ptr<CallerConnection>> m_connections; ///< Owner of each connection until it is closed.
+    std::unordered_map<Host::ExchangeId, CallerConnection *> m_exchanges; ///< Open connections whose request awaits its response.
     std::uint64_t m_totalBufferedBytes = 0;
     Host::ExchangeId m_lastExchange = 0;
     std::size_t m_unfinishedResponses = 0;
--- a/include/ragwortrelay/loop/clientconnection.h
+++ b/include/ragwortrelay/loop/clientconnection.h
@@ -21,7 +21,8 @@
     Failed, ///< The request failed; see failure() and hasSent().
 };
 
-/// HTTP/1.1 client connection that carries one request at a time. Not thread-safe; used by one thread.
+/// HTTP/1.1 client connection that carries one request at a time. Its pool owns it, with the request that it carries or as an idle connection, until
+/// close(); handlers of operations that end later find it closed. Not thread-safe; used by one thread.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
@@ -75,6 +76,8 @@
     void setIdleHandler(std::function<void()> handler);
 
 private:
+    /// Runs a task, and fails the request and closes the connection if the task throws.
+    template<typename Task> void guarded(Task &&task);
     void onConnected(const ErrorCode &error);
     void onReady(const ErrorCode &error);
     void write();
--- a/include/ragwortrelay/loop/storeclient.h
+++ b/include/ragwortrelay/loop/storeclient.h
@@ -47,6 +47,11 @@
 
     StoreClient(asio::io_context &context, const StoreClientSettings &settings, const StoreFormat &format, EventHandler handler);
 
+    /// Closes all connections without reporting their calls.
+    ~StoreClient();
+    StoreClient(const StoreClient &) = delete;
+    StoreClient &operator=(const StoreClient &) = delete;
+
     /// Starts a call. Each call, also one that fails, ends with a StoreResponded event.
     void call(Host::StoreCallId id, const Store::Call &call);
 
@@ -63,6 +68,8 @@
     /// Takes the part of the body that has arrived, and ends the call if the body is too large.
     void onProgress(Host::StoreCallId id, PendingCall &pending);
     void onResponseComplete(Host::StoreCallId id, const PendingCall &pending);
+    /// Decodes a response. One that can't be decoded counts as none.
+    [[nodiscard]] Store::Result decode(const PendingCall &pending) const;
     void onTimeout(Host::StoreCallId id);
     void finish(Host::StoreCallId id, const Store::Result &result);
     void releaseConnection(const std::shared_ptr<ClientConnection> &connection);
--- a/include/ragwortrelay/loop/stream.h
+++ b/include/ragwortrelay/loop/stream.h
@@ -59,7 +59,8 @@
     void write(const std::array<asio::const_buffer, 2> &buffers, Handler handler);
 
     /// Signals the end of the written data to the peer. Precondition: no write is in progress.
-    void endWriting();
+    /// @param handler called when the stream isn't used any more; holds the owner of the stream until then
+    void endWriting(std::function<void()> handler);
 
     /// Closes the connection immediately. Handlers of operations in progress are called with an error.
     void close();
--- a/src/loop/backendpool.cpp
+++ b/src/loop/backendpool.cpp
@@ -53,6 +53,20 @@
     }
 }
 
+BackendPool::~BackendPool()
+{
+    for (const auto &[id, attempt] : m_attempts) {
+        attempt.m_stream->m_onTaken = nullptr;
+        attempt.m_stream->m_onAbandoned = nullptr; // The caller's connection may outlive the pool.
+        attempt.m_connection->close();
+    }
+    for (const auto &[server, connections] : m_idle) {
+        for (const IdleConnection &idle : connections) {
+            idle.m_connection->close();
+        }
+    }
+}
+
 void BackendPool::start(const Host::StartAttempt &action, const CallerRequest &request)
 {
     const TimePoint now = currentTime();
--- a/src/loop/callerconnection.cpp
+++ b/src/loop/callerconnection.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/core/digest.h>
 #include <ragwortrelay/core/hash.h>
 #include <ragwortrelay/detail/loop/callerconnection.h>
+#include <ragwortrelay/detail/loop/guard.h>
 #include <ragwortrelay/detail/loop/problem.h>
 #include <ragwortrelay/http/status.h>
 #include <ragwortrelay/http/writer.h>
@@ -24,14 +25,25 @@
 
 CallerConnection::~CallerConnection() = default;
 
+template<typename Task> void CallerConnection::guarded(Task &&task)
+{
+    detail::runGuarded(std::forward<Task>(task), [self = shared_from_this()] { self->close(); });
+}
+
 void CallerConnection::start()
+{
+    guarded([this] { startReading(); });
+}
+
+void CallerConnection::startReading()
 {
     tune(m_stream.socket(), m_listener.m_settings.m_tcpTimeouts);
     startTimer(m_listener.m_settings.m_limits.m_headerTimeout);
     if (!m_stream.isSecure()) {
         return read();
     }
-    m_stream.handshake(StreamSide::Server, [self = shared_from_this()](const ErrorCode &error) { error ? self->close() : self->read(); });
+    m_stream.handshake(StreamSide::Server,
+                       [self = shared_from_this()](const ErrorCode &error) { self->guarded([&] { error ? self->close() : self->read(); }); });
 }
 
 const CallerRequest &CallerConnection::request() const
@@ -46,7 +58,8 @@
         return;
     }
     m_isReading = true;
-    m_stream.readSome(asio::buffer(m_readBuffer), [self = shared_from_this()](const ErrorCode &error, std::size_t size) { self->onRead(error, size); });
+    m_stream.readSome(asio::buffer(m_readBuffer),
+                      [self = shared_from_this()](const ErrorCode &error, std::size_t size) { self->guarded([&] { self->onRead(error, size); }); });
 }
 
 void CallerConnection::onRead(const ErrorCode &error, std::size_t size)
@@ -139,11 +152,16 @@
     m_keepsAlive = false;
     m_request = {};
     const Dispatch::Problem problem{refusal.m_status, refusal.m_id, Dispatch::Outcome::NotRun, refusal.m_detail, {}};
-    refuse(problem);
+    writeRefusal(problem);
     m_listener.m_handler(Host::RequestReadFailed{problem});
 }
 
 void CallerConnection::refuse(const Dispatch::Problem &problem)
+{
+    guarded([&] { writeRefusal(problem); });
+}
+
+void CallerConnection::writeRefusal(const Dispatch::Problem &problem)
 {
     removeExchange();
     ++m_listener.m_unfinishedResponses;
@@ -162,6 +180,11 @@
 }
 
 void CallerConnection::response(const std::shared_ptr<ResponseStream> &stream)
+{
+    guarded([&] { writeResponse(stream); });
+}
+
+void CallerConnection::writeResponse(const std::shared_ptr<ResponseStream> &stream)
 {
     removeExchange();
     ++m_listener.m_unfinishedResponses;
@@ -178,7 +201,7 @@
     writeResponseHead(stream->m_head, size);
     stream->m_onDataAvailable = [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
-            self->forwardBody();
+            self->guarded([&] { self->forwardBody(); });
         }
     };
     forwardBody();
@@ -248,10 +271,17 @@
     m_output = std::move(bytes);
     m_isWriting = true;
     // The write is posted, so that consecutive parts are sent together.
-    asio::post(m_listener.m_context, [self = shared_from_this()] {
-        self->m_output += std::exchange(self->m_nextOutput, {});
-        self->m_stream.write({asio::buffer(self->m_output), {}}, [self](const ErrorCode &error, std::size_t /*size*/) { self->onWritten(error); });
-    });
+    asio::post(m_listener.m_context, [self = shared_from_this()] { self->guarded([&] { self->startWrite(); }); });
+}
+
+void CallerConnection::startWrite()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_output += std::exchange(m_nextOutput, {});
+    m_stream.write({asio::buffer(m_output), {}},
+                   [self = shared_from_this()](const ErrorCode &error, std::size_t /*size*/) { self->guarded([&] { self->onWritten(error); }); });
 }
 
 void CallerConnection::onWritten(const ErrorCode &error)
@@ -289,7 +319,7 @@
 {
     // Closing while the caller still sends would reset the connection, which could discard the response before the caller reads it.
     m_phase = Phase::Closing;
-    m_stream.endWriting();
+    m_stream.endWriting([self = shared_from_this()] {}); // A TLS shutdown uses the stream until it ends.
     m_input.clear();
     startTimer(LingerTimeout);
     read();
@@ -322,7 +352,7 @@
         }
     }
     m_stream.close();
-    m_listener.m_connections.erase(this);
+    m_listener.m_connections.erase(this); // `self` keeps the connection to the end of this function.
     if (m_phase == Phase::Waiting) {
         const Host::ExchangeId exchange = m_exchange;
         removeExchange();
@@ -336,7 +366,7 @@
     m_timer.async_wait([weak = weak_from_this()](const ErrorCode &error) {
         const auto self = weak.lock();
         if (!error && self) {
-            self->onTimeout();
+            self->guarded([&] { self->onTimeout(); });
         }
     });
 }
--- a/src/loop/callerlistener.cpp
+++ b/src/loop/callerlistener.cpp
@@ -10,13 +10,10 @@
 
 CallerListener::~CallerListener()
 {
-    const auto connections = std::move(m_connections);
-    m_connections.clear();
-    m_exchanges.clear();
-    for (const auto &[key, weak] : connections) {
-        if (const auto connection = weak.lock()) {
-            connection->close();
-        }
+    m_handler = [](const Host::Event & /*event*/) {}; // Whoever receives the events may be destroyed already.
+    const auto connections = m_connections;
+    for (const auto &[key, connection] : connections) {
+        connection->close();
     }
 }
 
@@ -42,15 +39,21 @@
         if (error) {
             return retryAccept(); // The process may have run out of file descriptors.
         }
-        if (m_connections.size() < m_settings.m_maxConnections) {
-            const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
-            m_connections.emplace(connection.get(), connection);
-            connection->start();
-        }
         accept();
+        addConnection(std::move(socket));
     });
 }
 
+void CallerListener::addConnection(tcp::socket socket)
+{
+    if (m_connections.size() >= m_settings.m_maxConnections) {
+        return;
+    }
+    const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
+    m_connections.emplace(connection.get(), connection);
+    connection->start();
+}
+
 void CallerListener::retryAccept()
 {
     constexpr auto RetryInterval = std::chrono::milliseconds(50);
@@ -84,6 +87,14 @@
     }
 }
 
+void CallerListener::abandon(Host::ExchangeId exchange)
+{
+    const auto found = m_exchanges.find(exchange);
+    if (found != m_exchanges.end()) {
+        found->second->close();
+    }
+}
+
 void CallerListener::setLimits(const Configuration::CallerLimits &limits)
 {
     m_settings.m_limits = limits;
@@ -104,10 +115,8 @@
 void CallerListener::closeIdleConnections()
 {
     const auto connections = m_connections;
-    for (const auto &[key, weak] : connections) {
-        if (const auto connection = weak.lock()) {
-            connection->closeIfIdle();
-        }
+    for (const auto &[key, connection] : connections) {
+        connection->closeIfIdle();
     }
 }
 
--- a/src/loop/clientconnection.cpp
+++ b/src/loop/clientconnection.cpp
@@ -1,3 +1,4 @@
+#include <ragwortrelay/detail/loop/guard.h>
 #include <ragwortrelay/loop/clientconnection.h>
 
 #include <sys/socket.h>
@@ -14,6 +15,11 @@
 
 ClientConnection::~ClientConnection() = default;
 
+template<typename Task> void ClientConnection::guarded(Task &&task)
+{
+    detail::runGuarded(std::forward<Task>(task), [self = shared_from_this()] { self->fail(AttemptFailure::Broken); });
+}
+
 void ClientConnection::connect(const tcp::endpoint &endpoint, Duration timeout)
 {
     ErrorCode error;
@@ -23,7 +29,7 @@
         return;
     }
     tune(m_stream.socket(), m_tcpTimeouts);
-    m_stream.socket().async_connect(endpoint, [self = shared_from_this()](const ErrorCode &result) { self->onConnected(result); });
+    m_stream.socket().async_connect(endpoint, [self = shared_from_this()](const ErrorCode &result) { self->guarded([&] { self->onConnected(result); }); });
     m_connectTimer.expires_after(timeout);
     m_connectTimer.async_wait([self = shared_from_this()](const ErrorCode &result) {
         if (!result && !self->m_isConnected) {
@@ -43,7 +49,7 @@
     if (!m_stream.isSecure()) {
         return onReady({});
     }
-    m_stream.handshake(StreamSide::Client, [self = shared_from_this()](const ErrorCode &result) { self->onReady(result); });
+    m_stream.handshake(StreamSide::Client, [self = shared_from_this()](const ErrorCode &result) { self->guarded([&] { self->onReady(result); }); });
 }
 
 void ClientConnection::onReady(const ErrorCode &error)
@@ -102,7 +108,8 @@
         return;
     }
     m_isReading = true;
-    m_stream.readSome(asio::buffer(m_readBuffer), [self = shared_from_this()](const ErrorCode &error, std::size_t size) { self->onRead(error, size); });
+    m_stream.readSome(asio::buffer(m_readBuffer),
+                      [self = shared_from_this()](const ErrorCode &error, std::size_t size) { self->guarded([&] { self->onRead(error, size); }); });
 }
 
 void ClientConnection::onRead(const ErrorCode &error, std::size_t size)
--- a/src/loop/peersocket.cpp
+++ b/src/loop/peersocket.cpp
@@ -1,3 +1,4 @@
+#include <ragwortrelay/detail/loop/guard.h>
 #include <ragwortrelay/loop/peersocket.h>
 #include <ragwortrelay/wire/datagram.h>
 
@@ -51,9 +52,8 @@
         if (error == asio::error::operation_aborted) {
             return;
         }
-        if (!error) {
-            onReceived(size);
-        }
+        // The buffer is free for the next datagram once this one is handled, also if that fails.
+        detail::runGuarded([&] { error ? void() : onReceived(size); }, [this] { receive(); });
         receive();
     });
 }
--- a/src/loop/relay.cpp
+++ b/src/loop/relay.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/host/metrics.h>
 #include <ragwortrelay/http/status.h>
 #include <ragwortrelay/loop/clock.h>
+#include <ragwortrelay/loop/eventloop.h>
 #include <ragwortrelay/loop/peersocket.h>
 #include <ragwortrelay/loop/relay.h>
 #include <ragwortrelay/reporting/counters.h>
@@ -73,7 +74,7 @@
             watchSettingsFile();
         }
         handle(Host::TimerExpired{unixSeconds()});
-        m_context.run();
+        runEventLoop(m_context, [this](const std::exception &exception) { reportException("connection", exception); });
         m_log.log(Reporting::LogLine("exited"));
     }
 
@@ -120,12 +121,12 @@
             if (error) {
                 return;
             }
+            awaitSignal();
             if (signal == SIGHUP) {
                 readSettings();
             } else {
                 handle(Host::StopRequested{});
             }
-            awaitSignal();
         });
     }
 
@@ -141,35 +142,65 @@
     void watchSettingsFile()
     {
         constexpr auto Interval = std::chrono::seconds(1);
-        std::error_code error;
-        const auto modifiedAt = std::filesystem::last_write_time(m_settingsFile.m_name, error);
-        if (!error && m_settingsFileModifiedAt && modifiedAt != *m_settingsFileModifiedAt) {
-            readSettings();
-        }
-        if (!error) {
-            m_settingsFileModifiedAt = modifiedAt;
-        }
         m_settingsFileTimer.expires_after(Interval);
         m_settingsFileTimer.async_wait([this](const ErrorCode &result) {
             if (!result) {
                 watchSettingsFile();
             }
         });
+        std::error_code error;
+        const auto modifiedAt = std::filesystem::last_write_time(m_settingsFile.m_name, error);
+        if (error) {
+            return;
+        }
+        const bool isChanged = m_settingsFileModifiedAt && modifiedAt != *m_settingsFileModifiedAt;
+        m_settingsFileModifiedAt = modifiedAt;
+        if (isChanged) {
+            readSettings();
+        }
     }
 
+    /// Passes an event to the state machine and performs the actions. Never throws: an exception costs only the event or the action.
     void handle(const Host::Event &event)
     {
-        const Host::Actions actions = Host::handle(m_state, event, currentTime());
+        Host::Actions actions;
+        try {
+            actions = Host::handle(m_state, event, currentTime());
+        } catch (const std::exception &exception) {
+            onEventFailed(event, exception);
+        }
         for (const Host::Action &action : actions) {
-            perform(action);
+            try {
+                perform(action);
+            } catch (const std::exception &exception) {
+                reportException("action", exception);
+            }
         }
         armTimer();
     }
 
+    void onEventFailed(const Host::Event &event, const std::exception &exception)
+    {
+        constexpr Duration RetryInterval = std::chrono::milliseconds(100); // An event of the timer that fails again must not occupy the processor.
+        m_noTimerBefore = currentTime() + RetryInterval;
+        reportException("event", exception);
+        const auto *request = std::get_if<Host::RequestArrived>(&event);
+        if (request != nullptr) {
+            m_callers.abandon(request->m_exchange);
+        }
+    }
+
+    /// Logs and counts an exception that ended the work on one connection, event or action.
+    void reportException(const char *source, const std::exception &exception)
+    {
+        ++m_exceptions;
+        m_log.log(Reporting::LogLine("exception", Reporting::Severity::Error).with("source", source).with("reason", exception.what()));
+    }
+
     /// Arms the timer for the next event of the state machine, unless it is armed for that time already.
     void armTimer()
     {
-        const TimePoint expiry = Host::nextTimerAt(m_state);
+        const TimePoint expiry = std::max(Host::nextTimerAt(m_state), m_noTimerBefore);
         if (expiry == m_timerExpiry) {
             return;
         }
@@ -321,6 +352,7 @@
         Reporting::count(counters, "log_lines_dropped", m_log.dropped());
         Reporting::count(counters, "backend_connections_opened", m_backends.opened());
         Reporting::count(counters, "peer_datagrams_refused", m_peerSocket.refused());
+        Reporting::count(counters, "exceptions", m_exceptions);
         return Host::metricsOf(m_state, currentTime()) + Reporting::formatMetrics(counters);
     }
 
@@ -342,6 +374,8 @@
     StatusListener m_metricsListener;
     OperatorListener m_operators;
     TimePoint m_timerExpiry = TimePoint::max();
+    TimePoint m_noTimerBefore{}; ///< Earliest time of the next timer event, after one that failed.
+    std::uint64_t m_exceptions = 0; ///< Exceptions that ended the work on one connection, event or action.
     bool m_isReady = false;
     TimePoint m_exitAt; ///< Time at which the event loop stops although responses are being written.
 };
--- a/src/loop/storeclient.cpp
+++ b/src/loop/storeclient.cpp
@@ -19,6 +19,16 @@
 {
 }
 
+StoreClient::~StoreClient()
+{
+    for (const auto &[id, pending] : m_pendingCalls) {
+        pending.m_connection->close();
+    }
+    for (const auto &connection : m_idle) {
+        connection->close();
+    }
+}
+
 void StoreClient::call(Host::StoreCallId id, const Store::Call &call)
 {
     const StoreRequest request = m_format.m_encode(call);
@@ -93,11 +103,20 @@
 void StoreClient::onResponseComplete(Host::StoreCallId id, const PendingCall &pending)
 {
     const std::shared_ptr<ClientConnection> connection = pending.m_connection;
-    const Store::Result result = m_format.m_decode(pending.m_call, connection->reader().head().m_status, pending.m_body);
+    const Store::Result result = decode(pending);
     releaseConnection(connection);
     finish(id, result);
 }
 
+Store::Result StoreClient::decode(const PendingCall &pending) const
+{
+    try {
+        return m_format.m_decode(pending.m_call, pending.m_connection->reader().head().m_status, pending.m_body);
+    } catch (const std::exception &exception) {
+        return Store::NoResponse{std::string("the response can't be decoded: ") + exception.what()};
+    }
+}
+
 void StoreClient::onTimeout(Host::StoreCallId id)
 {
     const auto found = m_pendingCalls.find(id);
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -69,14 +69,16 @@
     }
 }
 
-void Stream::endWriting()
+void Stream::endWriting(std::function<void()> handler)
 {
     if (m_tlsStream) {
-        m_tlsStream->async_shutdown([](const ErrorCode & /*error*/) {}); // An error means that the peer closed first; the connection ends in both cases.
+        // An error means that the peer closed first; the connection ends in both cases.
+        m_tlsStream->async_shutdown([handler = std::move(handler)](const ErrorCode & /*error*/) { handler(); });
         return;
     }
     ErrorCode ignored;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    handler();
 }
 
 void Stream::close()
--- a/tests/loop/relay.h
+++ b/tests/loop/relay.h
@@ -4,6 +4,7 @@
 
 #include <ragwortrelay/loop/backendpool.h>
 #include <ragwortrelay/loop/callerlistener.h>
+#include <ragwortrelay/loop/eventloop.h>
 
 #include <atomic>
 #include <chrono>
@@ -23,7 +24,7 @@
     {
         m_listener.start();
         m_address = m_listener.address();
-        m_thread = std::thread([this] { m_context.run(); });
+        m_thread = std::thread([this] { Loop::runEventLoop(m_context, [this](const std::exception &) { ++m_exceptions; }); });
     }
 
     ~Relay()
@@ -63,6 +64,8 @@
 
     std::atomic<std::uint64_t> m_requests{0};
     std::atomic<std::uint64_t> m_readFailures{0};
+    std::atomic<std::uint64_t> m_exceptions{0};
+    std::atomic<bool> m_failsOnRequest{false}; ///< The handler of the next request throws.
     std::atomic<std::uint64_t> m_callerDisconnects{0};
     std::atomic<std::int64_t> m_timeLeftMs{30'000};
 
@@ -77,6 +80,9 @@
     void handle(const Host::RequestArrived &request)
     {
         ++m_requests;
+        if (m_failsOnRequest.exchange(false)) {
+            throw std::runtime_error("test");
+        }
         Host::StartAttempt start;
         start.m_exchange = request.m_exchange;
         start.m_attempt = request.m_exchange;
