Limit the requests at cold servers, and bring restored failure domains back by degrees

Callers saw: a server that is warming up tolerates a few requests a second and crashes well above that, yet it got as many as it has slots for; servers of a failure domain that is taken back got all requests at once, as unused and idle ones.

Servers of a restored domain are candidates of a share of the selections that grows from 5 % to all over warmupS, or 3 s, and count as cold meanwhile.

--- a/include/ragwortrelay/configuration/catalogue.h
+++ b/include/ragwortrelay/configuration/catalogue.h
@@ -23,6 +23,8 @@
     double m_detectFailures = 0.0; ///< Failure share at which a backend server counts as unhealthy; 0 for the host's setting.
     Duration m_detectAfter{}; ///< Time for which the failures must last; 0 for the host's setting.
     std::string m_healthPath; ///< Path of the servers' health check; empty when they have none.
+    Duration m_warmup{}; ///< Time that a server takes to warm up after its start; 0 if unknown.
+    double m_coldRate = 0.0; ///< Requests per second that a server tolerates while it warms up; 0 for no limit.
     std::uint32_t m_maxConnections = 0; ///< Maximum connections to one server from all hosts together; 0 for no limit.
 
     friend bool operator==(const Service &, const Service &) = default;
--- a/include/ragwortrelay/detail/settings/sections.h
+++ b/include/ragwortrelay/detail/settings/sections.h
@@ -19,6 +19,7 @@
 ReportSettings readReports(YamlReader reader);
 RetrySettings readRetries(YamlReader reader);
 HealthSettings readHealth(YamlReader reader);
+WarmupSettings readWarmup(YamlReader reader);
 QueueSettings readQueue(YamlReader reader);
 StopSettings readStop(YamlReader reader);
 LogSettings readLog(YamlReader reader);
--- a/include/ragwortrelay/scheduling/serverregistry.h
+++ b/include/ragwortrelay/scheduling/serverregistry.h
@@ -6,6 +6,7 @@
 #include <ragwortrelay/core/time.h>
 #include <ragwortrelay/health/suspicion.h>
 #include <ragwortrelay/scheduling/placementrequest.h>
+#include <ragwortrelay/scheduling/warmuplimit.h>
 
 #include <tl/expected.hpp>
 
@@ -46,6 +47,9 @@
     Duration m_outcomeDecayTime{std::chrono::milliseconds(2000)}; ///< Time in which outcomes of requests lose all but 1/e of their weight in the failure share.
     Duration m_shedBackoff{std::chrono::milliseconds(60)}; ///< Time for which a server that shed a request counts as full.
     Duration m_drainingPeriod{std::chrono::seconds(20)}; ///< Time for which a server that announced draining gets no requests, unless it restarts.
+    std::optional<WarmupBounds> m_warmupBounds; ///< Bounds of the starts at cold servers whose service tells their rate; empty for no limit.
+    Duration m_restoreRamp{std::chrono::seconds(3)}; ///< Time in which the servers of a restored failure domain come back, if their service tells none.
+    double m_minRestoredShare = 0.05; ///< Share of the selections that may use servers of a failure domain that has just been restored.
     std::size_t m_maxCandidates = 48; ///< Bound on the servers of a large service that one selection samples.
 
     friend bool operator==(const ServerSelectionSettings &, const ServerSelectionSettings &) = default;
@@ -72,6 +76,8 @@
     std::optional<TimePoint> m_drainingUntil; ///< End of the time in which the server gets nothing after it announced draining.
     bool m_isLeaving = false; ///< The server has announced that it is leaving, which holds until it restarts.
     bool m_isEvacuated = false; ///< The failure domain of the server is evacuated.
+    std::optional<TimePoint> m_restoredAt; ///< Time at which the failure domain of the server was last taken back.
+    RecentStarts m_recentStarts; ///< Starts that count if the server is cold; recorded only where its service limits them.
     TimePoint m_warmupEndsAt; ///< End of the warm-up period.
     TimePoint m_lastTrialAt{}; ///< Last start of a request while the server was avoided.
     TimePoint m_lastUsedAt{}; ///< Last start of a request.
@@ -84,6 +90,8 @@
     std::optional<double> m_floor; ///< Share of the usable servers that is never avoided; see ServerSelectionSettings::m_floor.
     std::optional<double> m_unhealthyFailureShare; ///< Share of failures from which a server counts as unhealthy, 0 to 1.
     Duration m_avoidanceDelay{}; ///< Time for which a server must look unhealthy before it is avoided.
+    double m_coldRate = 0.0; ///< Requests per second that a cold server tolerates; 0 for no limit.
+    Duration m_warmup{}; ///< Time that a server takes to warm up; 0 if unknown.
 
     friend bool operator==(const ServicePolicy &, const ServicePolicy &) = default;
 };
@@ -120,6 +128,7 @@
     std::map<ServerId, ServerState> m_servers;
     std::map<ServiceId, ServiceState> m_services;
     std::map<ServerId, LeavingNotice> m_leaving; ///< Servers that have announced that they are leaving.
+    WarmupShare m_warmupShare; ///< Share of the starts at cold servers that this registry's scheduler may make.
     std::set<FailureDomainId> m_evacuatedDomains; ///< Failure domains whose servers get no attempts.
 };
 
@@ -129,8 +138,11 @@
 bool setServer(ServerRegistry &registry, const Configuration::Server &server, TimePoint now);
 
 /// Sets the evacuated failure domains. No attempt starts on their servers, which don't count as usable for the floor of their service either; running
-/// attempts go on. Linear in the servers.
-void setEvacuatedDomains(ServerRegistry &registry, const std::set<FailureDomainId> &domains);
+/// attempts go on. Servers of a domain that is taken back get a share of the selections that grows over their warm-up time. Linear in the servers.
+void setEvacuatedDomains(ServerRegistry &registry, const std::set<FailureDomainId> &domains, TimePoint now);
+
+/// Tells whether a server is warming up, according to its listing. Thread-safe on a state that doesn't change.
+bool isCold(const ServerState &state, TimePoint now);
 
 /// Tells whether a service has no usable server because failure domains are evacuated. Constant time while none is evacuated, otherwise linear in the
 /// servers of the service. Thread-safe on a registry that doesn't change.
--- a/include/ragwortrelay/settings/settings.h
+++ b/include/ragwortrelay/settings/settings.h
@@ -122,6 +122,14 @@
     friend bool operator==(const HealthSettings &, const HealthSettings &) = default;
 };
 
+/// Bounds of the requests that all hosts together start at a cold backend server within any one second.
+struct WarmupSettings {
+    double m_overage = 1.5; ///< Factor of the rate that the service's configuration allows for a cold server.
+    double m_slack = 8.0; ///< Requests beside those.
+
+    friend bool operator==(const WarmupSettings &, const WarmupSettings &) = default;
+};
+
 /// Queue of requests that wait for a free slot.
 struct QueueSettings {
     std::uint64_t m_perService = 512; ///< Maximum number of queued requests for one service, over all hosts.
@@ -159,6 +167,7 @@
     ReportSettings m_reports;
     RetrySettings m_retries;
     HealthSettings m_health;
+    std::optional<WarmupSettings> m_warmup; ///< Empty if cold servers have no limit.
     QueueSettings m_queue;
     StopSettings m_stop;
     LogSettings m_log;
--- a/src/cli/servecommand.cpp
+++ b/src/cli/servecommand.cpp
@@ -43,6 +43,9 @@
     host.m_scheduling.m_selection.m_floor = settings.m_health.m_floor;
     host.m_scheduling.m_selection.m_avoidAbove = settings.m_health.m_avoidAbove;
     host.m_scheduling.m_selection.m_trialInterval = settings.m_health.m_trialInterval;
+    if (settings.m_warmup) {
+        host.m_scheduling.m_selection.m_warmupBounds = Scheduling::WarmupBounds{settings.m_warmup->m_overage, settings.m_warmup->m_slack};
+    }
     host.m_scheduling.m_maxQueueLength = settings.m_queue.m_perService;
     host.m_editLimit = settings.m_configuration.m_editLimit;
     host.m_storesServiceLevels = settings.m_reports.m_storesRecords;
--- a/src/host/tables.cpp
+++ b/src/host/tables.cpp
@@ -71,7 +71,7 @@
 }
 
 /// Applies the evacuations of failure domains. They don't depend on whether the configuration in the same table is readable or newer.
-void applyEvacuations(State &state, Actions &actions)
+void applyEvacuations(State &state, TimePoint now, Actions &actions)
 {
     if (state.m_source.m_evacuationPrefix.empty()) {
         return;
@@ -81,7 +81,7 @@
     if (after == before) {
         return;
     }
-    Scheduling::setEvacuatedDomains(state.m_scheduler.m_registry, after);
+    Scheduling::setEvacuatedDomains(state.m_scheduler.m_registry, after, now);
     for (const FailureDomainId &domain : after) {
         if (!before.contains(domain)) {
             log(actions, evacuationLine(state, "domain-evacuated", domain));
@@ -100,7 +100,7 @@
     ReplicatedTable &table = tableOf(state, TableKind::Configuration);
     const ChangedRows rows = Fleet::changedSince(table.m_replica, table.m_appliedVersion);
     table.m_appliedVersion = table.m_replica.m_changed;
-    applyEvacuations(state, actions);
+    applyEvacuations(state, now, actions);
     if (state.m_source.m_hasOperatorTable) {
         Configuration::updateTable(state.m_operatorTable, rows);
     }
@@ -151,9 +151,15 @@
     const auto server = row.m_erased ? tl::unexpected(Error{}) : state.m_source.m_parseServer(row);
     if (server) {
         logServerChange(registry, *server, actions);
+        const auto known = registry.m_servers.find(id);
+        const bool wasCold = known != registry.m_servers.end() && Scheduling::isCold(known->second, now);
         if (Scheduling::setServer(registry, *server, now)) {
             actions.emplace_back(CloseIdleConnections{id});
         }
+        if (!wasCold && Scheduling::isCold(registry.m_servers.at(id), now)) {
+            log(actions,
+                LogLine("server-cold").with("server", id.text()).with("service", server->m_service.text()).with("warmup_us", server->m_warmupLeft.count()));
+        }
         return;
     }
     if (!row.m_erased) {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -113,6 +113,8 @@
             policy.m_unhealthyFailureShare = service.m_detectFailures;
         }
         policy.m_avoidanceDelay = service.m_detectAfter;
+        policy.m_coldRate = service.m_coldRate;
+        policy.m_warmup = service.m_warmup;
         scheduler.m_registry.m_services[id].m_policy = policy;
     }
 }
@@ -131,6 +133,7 @@
 
 void setShare(Scheduler &scheduler, double share, TimePoint now)
 {
+    updateShare(scheduler.m_registry.m_warmupShare, share, now);
     if (share == scheduler.m_share) {
         return;
     }
--- a/src/scheduling/selection.cpp
+++ b/src/scheduling/selection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace RagwortRelay::Scheduling {
 
@@ -28,6 +29,52 @@
     const ServerState *m_state = nullptr;
     double m_unhealthyProbability = 0.0;
     bool m_isConnected = false; ///< Whether the requesting host is likely to have a usable connection to the server.
+    bool m_canStart = false; ///< The server has a free slot, and its warm-up or its return from an evacuation allows a start now.
+};
+
+/// Returns the time over which a restored server of a service comes back.
+Duration rampOf(const ServerSelectionSettings &settings, const ServiceState &service)
+{
+    return service.m_policy.m_warmup > Duration(0) ? service.m_policy.m_warmup : settings.m_restoreRamp;
+}
+
+/// Tells whether a server comes back from an evacuation. It may be cold without its listing saying so.
+bool isComingBack(const ServerSelectionSettings &settings, const ServiceState &service, const ServerState &state, TimePoint now)
+{
+    return state.m_restoredAt && now - *state.m_restoredAt < rampOf(settings, service);
+}
+
+/// Tells whether the limit of starts at cold servers allows one more at a server.
+bool allowsColdStart(
+    const ServerRegistry &registry, const ServerSelectionSettings &settings, const ServiceState &service, const ServerState &state, TimePoint now)
+{
+    const double coldRate = service.m_policy.m_coldRate;
+    const bool isLimited = settings.m_warmupBounds && coldRate > 0.0 && (isCold(state, now) || isComingBack(settings, service, state, now));
+    return !isLimited || allowsStart(state.m_recentStarts, maxColdStarts(*settings.m_warmupBounds, coldRate, registry.m_warmupShare.m_usable), now);
+}
+
+/// Decides for one selection whether it may use servers that come back from an evacuation. The share of the selections that may grows in proportion
+/// to the time since the restoration. One draw holds for all servers: with a draw for each, nearly every selection would find one that it may use.
+class RestorationDraw
+{
+public:
+    explicit RestorationDraw(RandomGenerator &random) : m_random(random)
+    {
+    }
+
+    bool allows(const ServerSelectionSettings &settings, const ServiceState &service, const ServerState &state, TimePoint now)
+    {
+        if (!isComingBack(settings, service, state, now)) {
+            return true;
+        }
+        m_drawn = m_drawn ? m_drawn : std::optional(randomUnit(m_random));
+        const double elapsed = static_cast<double>((now - *state.m_restoredAt).count()) / static_cast<double>(rampOf(settings, service).count());
+        return *m_drawn < std::max(settings.m_minRestoredShare, elapsed);
+    }
+
+private:
+    RandomGenerator &m_random;
+    std::optional<double> m_drawn;
 };
 
 /// Returns the servers to which a host is likely to have an idle connection that the request may use.
@@ -55,7 +102,7 @@
     cost += utilization * settings.m_utilizationCost / state.m_server.m_weight;
     cost += state.m_server.m_domain == requester.m_domain ? 0.0 : settings.m_crossDomainCost;
     cost += candidate.m_isConnected ? 0.0 : settings.m_connectionCost;
-    cost += now < state.m_warmupEndsAt ? settings.m_warmupCost : 0.0;
+    cost += isCold(state, now) ? settings.m_warmupCost : 0.0;
     cost += std::max(0.0, slownessOf(state, settings, now) - 1.0) * settings.m_slownessCost;
     return cost;
 }
@@ -80,12 +127,16 @@
     const std::size_t start = count > settings.m_maxCandidates ? randomBelow(random, count) : 0;
     std::vector<ServerId> connected = connectedServers(settings, service, placement, requester.m_host, now);
     std::vector<Candidate> candidates;
+    RestorationDraw restorationDraw(random);
     const auto add = [&](const ServerId &id, bool isConnected) {
         const auto found = registry.m_servers.find(id);
         if (found != registry.m_servers.end() && isUsable(found->second, now)) {
             const Health::ServerSuspicion &suspicion = found->second.m_suspicion;
             const double unhealthyProbability = Health::unhealthyProbability(settings.m_suspicion, suspicion, requester.m_host, requester.m_domain, now);
-            candidates.push_back({&found->second, unhealthyProbability, isConnected});
+            const ServerState &state = found->second;
+            const bool canStart =
+                hasFreeSlot(state, now) && restorationDraw.allows(settings, service, state, now) && allowsColdStart(registry, settings, service, state, now);
+            candidates.push_back({&state, unhealthyProbability, isConnected, canStart});
         }
     };
     std::size_t sampled = 0;
@@ -136,7 +187,7 @@
     const Candidate *best = nullptr;
     double minCost = std::numeric_limits<double>::max();
     for (const Candidate &candidate : candidates) {
-        if (contains(placement.m_excluded, candidate.m_state->m_server.m_id) || !hasFreeSlot(*candidate.m_state, now)) {
+        if (contains(placement.m_excluded, candidate.m_state->m_server.m_id) || !candidate.m_canStart) {
             continue;
         }
         const double cost = costOf(settings, candidate, placement, requester, now) + TieBreakCost * randomUnit(random);
@@ -154,7 +205,7 @@
 {
     for (const Candidate &candidate : avoided) {
         const ServerState &state = *candidate.m_state;
-        const bool isDue = state.m_running.empty() && hasFreeSlot(state, now) && now - state.m_lastTrialAt >= settings.m_trialInterval;
+        const bool isDue = state.m_running.empty() && candidate.m_canStart && now - state.m_lastTrialAt >= settings.m_trialInterval;
         if (isDue && placement.m_idempotent && placement.m_purpose == AttemptKind::First && !contains(placement.m_excluded, state.m_server.m_id)) {
             return &candidate;
         }
@@ -192,13 +243,12 @@
 };
 
 /// Adds a server without recent requests.
-void addUnused(UnusedServers &unused, const Candidate &candidate, const PlacementRequest &placement, TimePoint now)
+void addUnused(UnusedServers &unused, const Candidate &candidate, const PlacementRequest &placement)
 {
     unused.m_count += 1.0;
     unused.m_expectedHealthy += 1.0 - candidate.m_unhealthyProbability;
-    const ServerState &state = *candidate.m_state;
     const bool isBetter = unused.m_best == nullptr || candidate.m_unhealthyProbability < unused.m_best->m_unhealthyProbability;
-    if (isBetter && hasFreeSlot(state, now) && !contains(placement.m_excluded, state.m_server.m_id)) {
+    if (isBetter && candidate.m_canStart && !contains(placement.m_excluded, candidate.m_state->m_server.m_id)) {
         unused.m_best = &candidate;
     }
 }
@@ -226,7 +276,7 @@
         expected += isExempt ? 0.0 : 1.0;
         healthy += 1.0 - candidate.m_unhealthyProbability;
         if (isTrial ? isDueForTrial(settings, *candidate.m_state, now) : isUnused) {
-            addUnused(unused, candidate, placement, now);
+            addUnused(unused, candidate, placement);
         }
     }
     const bool mustUseAny =
--- a/src/scheduling/serverregistry.cpp
+++ b/src/scheduling/serverregistry.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace RagwortRelay::Scheduling {
 
@@ -80,7 +81,7 @@
     constexpr double ServerSmoothingFactor = 0.15;
     constexpr double MaxSlowness = 10.0;
     Health::addSuccess(settings.m_suspicion, state.m_suspicion, requester.m_host, requester.m_domain, now);
-    if (now < state.m_warmupEndsAt) {
+    if (isCold(state, now)) {
         return; // The latency of a server that is warming up isn't representative.
     }
     ServiceState &service = registry.m_services[state.m_server.m_service];
@@ -201,29 +202,44 @@
 {
     const auto known = registry.m_servers.find(server.m_id);
     const bool isReplacement = known != registry.m_servers.end() && !isSameServer(known->second.m_server, server);
+    RecentStarts recentStarts;
     if (isReplacement) {
+        recentStarts = std::move(known->second.m_recentStarts); // A server that restarts in mid-second must not get the starts of two.
         eraseServer(registry, server.m_id);
     }
     const auto [found, isNew] = registry.m_servers.try_emplace(server.m_id);
+    if (isReplacement) {
+        found->second.m_recentStarts = std::move(recentStarts);
+    }
     found->second.m_server = server;
     found->second.m_isEvacuated = registry.m_evacuatedDomains.contains(server.m_domain);
     if (isNew) {
         applyLeavingNotice(registry, found->second);
-        found->second.m_warmupEndsAt = now + server.m_warmupLeft;
         std::vector<ServerId> &servers = registry.m_services[server.m_service].m_servers;
         servers.insert(std::ranges::upper_bound(servers, server.m_id), server.m_id);
     }
+    if (isNew || server.m_warmupLeft > Duration(0)) { // A running server may become cold again.
+        found->second.m_warmupEndsAt = now + server.m_warmupLeft;
+    }
     return isReplacement;
 }
 
-void setEvacuatedDomains(ServerRegistry &registry, const std::set<FailureDomainId> &domains)
+void setEvacuatedDomains(ServerRegistry &registry, const std::set<FailureDomainId> &domains, TimePoint now)
 {
     registry.m_evacuatedDomains = domains;
     for (auto &[id, state] : registry.m_servers) {
-        state.m_isEvacuated = domains.contains(state.m_server.m_domain);
+        const bool wasEvacuated = std::exchange(state.m_isEvacuated, domains.contains(state.m_server.m_domain));
+        if (wasEvacuated && !state.m_isEvacuated) {
+            state.m_restoredAt = now;
+        }
     }
 }
 
+bool isCold(const ServerState &state, TimePoint now)
+{
+    return now < state.m_warmupEndsAt;
+}
+
 bool isServiceEvacuated(const ServerRegistry &registry, const ServiceId &service, TimePoint now)
 {
     const auto found = registry.m_services.find(service);
@@ -302,6 +318,9 @@
     const bool isLastAttempt = !placement.m_idempotent || placement.m_purpose == AttemptKind::Retry;
     state.m_running.push_back({{requester.m_host, placement.m_number}, now, isLastAttempt, false});
     state.m_lastUsedAt = now;
+    if (settings.m_warmupBounds && registry.m_services[state.m_server.m_service].m_policy.m_coldRate > 0.0) {
+        recordStart(state.m_recentStarts, now);
+    }
     removeIdleConnection(registry.m_services[state.m_server.m_service], requester.m_host, server);
     if (Health::unhealthyProbability(settings.m_suspicion, state.m_suspicion, requester.m_host, requester.m_domain, now) > settings.m_avoidAbove) {
         state.m_lastTrialAt = now;
--- a/src/settings/schedulingsections.cpp
+++ b/src/settings/schedulingsections.cpp
@@ -28,6 +28,17 @@
     return settings;
 }
 
+WarmupSettings readWarmup(YamlReader reader)
+{
+    constexpr double MaxOverage = 100.0;
+    constexpr double MaxSlack = 1'000'000.0;
+    WarmupSettings settings;
+    settings.m_overage = reader.number("overage", settings.m_overage, 0.0, MaxOverage);
+    settings.m_slack = reader.number("slack", settings.m_slack, 0.0, MaxSlack);
+    reader.reportUnknownKeys();
+    return settings;
+}
+
 QueueSettings readQueue(YamlReader reader)
 {
     constexpr std::uint64_t MaxQueueLength = 100'000;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -29,6 +29,9 @@
     settings.m_reports = detail::readReports(root.section("reports", Presence::Optional));
     settings.m_retries = detail::readRetries(root.section("retries", Presence::Optional));
     settings.m_health = detail::readHealth(root.section("health", Presence::Optional));
+    if (root.has("warmup")) {
+        settings.m_warmup = detail::readWarmup(root.section("warmup", Presence::Optional));
+    }
     settings.m_queue = detail::readQueue(root.section("queue", Presence::Optional));
     settings.m_stop = detail::readStop(root.section("stop", Presence::Optional));
     settings.m_log = detail::readLog(root.section("log", Presence::Optional));
--- a/tests/fakes/faketables.h
+++ b/tests/fakes/faketables.h
@@ -36,6 +36,12 @@
         catalogue.m_routes.push_back(route);
     }
     Configuration::sortRoutes(catalogue.m_routes);
+    for (const auto &entry : json.value("services", nlohmann::json::array())) {
+        Configuration::Service service;
+        service.m_id = ServiceId(entry.at("name").get<std::string>());
+        service.m_coldRate = entry.value("cold_rate", 0.0);
+        catalogue.m_services[service.m_id] = service;
+    }
     for (const auto &entry : json.value("workspaces", nlohmann::json::array())) {
         Configuration::Workspace workspace;
         workspace.m_id = WorkspaceId(entry.at("name").get<std::string>());
@@ -71,6 +77,7 @@
     server.m_domain = FailureDomainId(json.value("domain", "d1"));
     server.m_slots = json.value("slots", 2U);
     server.m_incarnation = json.value("incarnation", 1U);
+    server.m_warmupLeft = std::chrono::milliseconds(json.value("warmup_ms", 0));
     server.m_use = json.value("leaving", false) ? Configuration::ServerUse::Draining : Configuration::ServerUse::Active;
     return server;
 }
@@ -97,13 +104,17 @@
 
 /// Writes a configuration with the idempotent route /look, the non-idempotent route /book and the route /keyed, which needs a workspace key. The key of each
 /// workspace is its name.
-inline void writeConfiguration(FleetSimulation &simulation, std::uint64_t version, const nlohmann::json &workspaces = nlohmann::json::array())
+inline void
+writeConfiguration(FleetSimulation &simulation, std::uint64_t version, const nlohmann::json &workspaces = nlohmann::json::array(), double coldRate = 0.0)
 {
+    const nlohmann::json services{{{"name", "desk"}, {"cold_rate", coldRate}}};
     const nlohmann::json routes{{{"path", "/look"}, {"service", "desk"}},
                                 {{"path", "/book"}, {"service", "desk"}, {"idempotent", false}},
                                 {{"path", "/keyed"}, {"service", "desk"}, {"open", false}}};
-    simulation.m_store.write(
-        "configuration", "catalogue", nlohmann::json{{"version", version}, {"routes", routes}, {"workspaces", workspaces}}.dump(), simulation.m_now);
+    simulation.m_store.write("configuration",
+                             "catalogue",
+                             nlohmann::json{{"version", version}, {"services", services}, {"routes", routes}, {"workspaces", workspaces}}.dump(),
+                             simulation.m_now);
 }
 
 /// Returns the JSON of a workspace for writeConfiguration().
--- a/tests/host/evacuation.cpp
+++ b/tests/host/evacuation.cpp
@@ -161,7 +161,7 @@
     evacuate(simulation, "d1");
     simulation.run(EvacuationTime);
     const TimePoint evacuatedAt = simulation.m_now;
-    Scheduling::setEvacuatedDomains(simulation.m_hosts.at(leader).m_scheduler.m_registry, {});
+    Scheduling::setEvacuatedDomains(simulation.m_hosts.at(leader).m_scheduler.m_registry, {}, simulation.m_now);
     for (int i = 0; i < 100; ++i) {
         const HostId host("h" + std::to_string(i % Hosts + 1));
         if (host != leader) {
--- a/tests/scheduling/serverregistry.cpp
+++ b/tests/scheduling/serverregistry.cpp
@@ -404,3 +404,26 @@
         CHECK(registry.m_servers.at(server).m_server.m_domain == Self.m_domain);
     }
 }
+
+TEST_CASE("a sample of a large service isn't taken from evacuated servers alone")
+{
+    // Servers named after their failure domain stand side by side in the list: a run of it was evacuated as a whole, and requests were refused.
+    ServerRegistry registry;
+    const ServerSelectionSettings settings;
+    RandomGenerator random(3);
+    const TimePoint now{std::chrono::seconds(1000)};
+    for (auto &[id, server] : serversOf(200)) {
+        Configuration::Server named = server;
+        named.m_domain = FailureDomainId(id.text() < "s2" ? "d1" : "d2");
+        setServer(registry, named, now);
+    }
+    setEvacuatedDomains(registry, {FailureDomainId("d1")}, now);
+    for (std::uint64_t i = 1; i <= 300; ++i) {
+        const auto server = selectServer(registry, settings, placementOf(i, true), Self, random, now);
+        REQUIRE(server);
+        CHECK(registry.m_servers.at(*server).m_server.m_domain == FailureDomainId("d2"));
+    }
+    CHECK_FALSE(isServiceEvacuated(registry, Desk, now));
+    setEvacuatedDomains(registry, {FailureDomainId("d1"), FailureDomainId("d2")}, now);
+    CHECK(isServiceEvacuated(registry, Desk, now));
+}
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -47,6 +47,17 @@
         CHECK(refused.error().size() == 3);
     }
 
+    SECTION("cold servers have a limit only if the section warmup is present, and its values are validated")
+    {
+        CHECK_FALSE(parseSettings(ValidSettings, "host.yaml")->m_warmup);
+        const auto settings = parseSettings(std::string(ValidSettings) + "warmup:\n  overage: 1.25\n  slack: 0\n", "host.yaml");
+        REQUIRE(settings);
+        CHECK(settings->m_warmup == WarmupSettings{1.25, 0.0});
+        const auto refused = parseSettings(std::string(ValidSettings) + "warmup:\n  overage: -1\n  slack: many\n  slak: 1\n", "host.yaml");
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().size() == 3);
+    }
+
     SECTION("all findings are reported together, each with its line and column")
     {
         const auto settings = parseSettings(R"(host:
