Evacuate failure domains by rows of the operators' table

Operators of the product's own table had no way to take a whole failure domain out but to edit each server. A row evacuation/DOMAIN does so, set and erased by ragwortrelay table set and erase; hosts apply it as they do the platform's rows. Status shows each evacuation with its servers and running requests, and which servers are evacuated.

tests/processes/test_evacuation.py covers it; it wasn't run against the command before the change, whose list of kinds lacks this one. The tests of configuration pass with the new kind among their random rows, and so do the process files evacuation and configuration.

--- a/include/ragwortrelay/configuration/row.h
+++ b/include/ragwortrelay/configuration/row.h
@@ -14,6 +14,7 @@
     Route,
     Workspace,
     Key,
+    Evacuation, ///< Evacuation of the failure domain that the row is named after.
 };
 
 /// Identity of a row.
--- a/include/ragwortrelay/configuration/tablefile.h
+++ b/include/ragwortrelay/configuration/tablefile.h
@@ -29,7 +29,8 @@
     friend bool operator==(const TableFile &, const TableFile &) = default;
 };
 
-/// Writes the rows that aren't erased as a table file. Keys are left out because they are given and withdrawn, not edited. Thread-safe.
+/// Writes the rows that aren't erased as a table file. Keys and evacuations are left out: keys are given and withdrawn,
+/// and a file that was written during an evacuation must not start it again. Thread-safe.
 std::string writeTableFile(const Table &table);
 
 /// Reads a table file and checks its format and the cells of each row, but no references.
--- a/include/ragwortrelay/operators/command.h
+++ b/include/ragwortrelay/operators/command.h
@@ -103,12 +103,22 @@
     ServerId m_server;
     ServiceId m_service;
     bool m_isDraining = false;
+    bool m_isEvacuated = false;
     double m_unhealthyProbability = 0.0; ///< Probability that the server is unhealthy for requests of this host, 0 to 1.
     std::uint32_t m_running = 0; ///< Running requests that this host knows of.
 
     friend bool operator==(const ServerShown &, const ServerShown &) = default;
 };
 
+/// An evacuated failure domain.
+struct EvacuationShown {
+    FailureDomainId m_domain;
+    std::uint32_t m_servers = 0; ///< Servers of the domain; 0 for a domain without any, such as a misspelled one.
+    std::uint32_t m_running = 0; ///< Requests that still run there, as far as this host knows.
+
+    friend bool operator==(const EvacuationShown &, const EvacuationShown &) = default;
+};
+
 /// A host's view of itself and of the fleet.
 struct StatusShown {
     std::string m_host;
@@ -118,6 +128,7 @@
     bool m_ready = false;
     std::uint64_t m_requestsInFlight = 0;
     RolloutShown m_rollout; ///< Rollout of the version in force.
+    std::vector<EvacuationShown> m_evacuations;
     std::vector<ServerShown> m_servers;
 
     friend bool operator==(const StatusShown &, const StatusShown &) = default;
--- a/src/configuration/catalogue.cpp
+++ b/src/configuration/catalogue.cpp
@@ -210,6 +210,9 @@
         return addWorkspace(catalogue, row, cells);
     case RowKind::Key:
         return addKey(catalogue, row, cells);
+    case RowKind::Evacuation: // Hosts apply it whatever its cells are.
+        static_cast<void>(cells.text("reason"));
+        return;
     }
 }
 
@@ -277,6 +280,8 @@
     case RowKind::Key:
         catalogue.m_keys.erase(KeyId(key.m_name));
         return;
+    case RowKind::Evacuation:
+        return;
     }
 }
 
--- a/src/configuration/table.cpp
+++ b/src/configuration/table.cpp
@@ -7,12 +7,13 @@
 
 namespace {
 
-constexpr std::array<std::pair<RowKind, const char *>, 5> KindNames{{
+constexpr std::array<std::pair<RowKind, const char *>, 6> KindNames{{
     {RowKind::Service, "service"},
     {RowKind::Server, "server"},
     {RowKind::Route, "route"},
     {RowKind::Workspace, "workspace"},
     {RowKind::Key, "key"},
+    {RowKind::Evacuation, "evacuation"},
 }};
 
 }
--- a/src/configuration/tablefile.cpp
+++ b/src/configuration/tablefile.cpp
@@ -15,6 +15,12 @@
 namespace {
 
 constexpr RowKind FileKinds[] = {RowKind::Service, RowKind::Server, RowKind::Route, RowKind::Workspace};
+
+bool isInFiles(RowKind kind)
+{
+    return std::ranges::find(FileKinds, kind) != std::end(FileKinds);
+}
+
 constexpr const char *KindColumn = "kind";
 constexpr const char *NameColumn = "name";
 constexpr const char *VersionColumn = "version";
@@ -156,10 +162,11 @@
 std::optional<RowKind> readKind(const PlacedCell &cell, Findings &findings)
 {
     const auto [kind, known] = rowKindFrom(cell.m_text);
-    if (known && kind != RowKind::Key) {
+    if (known && isInFiles(kind)) {
         return kind;
     }
-    const std::string message = known ? "keys are given and withdrawn by the key commands" : "'" + cell.m_text + "' is no kind of row";
+    const char *const reason = kind == RowKind::Key ? "keys are given and withdrawn by the key commands" : "evacuations are set and erased as single rows";
+    const std::string message = known ? reason : "'" + cell.m_text + "' is no kind of row";
     findings.push_back({cell.m_place, ErrorId::TableBadCell, message});
     return std::nullopt;
 }
@@ -290,7 +297,7 @@
     std::set<std::string> columns = allColumns();
     for (const auto &[key, row] : table.m_rows) {
         for (const auto &[column, value] : row.m_cells) {
-            if (key.m_kind != RowKind::Key) {
+            if (isInFiles(key.m_kind)) {
                 columns.insert(column);
             }
         }
@@ -304,7 +311,7 @@
     }
     text += '\n';
     for (const auto &[key, row] : table.m_rows) {
-        if (row.m_erased || key.m_kind == RowKind::Key) {
+        if (row.m_erased || !isInFiles(key.m_kind)) {
             continue;
         }
         text += toString(key.m_kind) + ',' + quoteCell(key.m_name) + ",v" + std::to_string(row.m_version) + '-' + fingerprintOf(row.m_cells);
--- a/src/host/operators.cpp
+++ b/src/host/operators.cpp
@@ -151,6 +151,7 @@
         shown.m_server = id;
         shown.m_service = known.m_server.m_service;
         shown.m_isDraining = Scheduling::isDraining(known, now);
+        shown.m_isEvacuated = known.m_isEvacuated;
         shown.m_unhealthyProbability = Health::unhealthyProbability(settings, known.m_suspicion, state.m_settings.m_host, state.m_settings.m_domain, now);
         shown.m_running = static_cast<std::uint32_t>(known.m_running.size());
         servers.push_back(std::move(shown));
@@ -158,6 +159,22 @@
     return servers;
 }
 
+std::vector<Operators::EvacuationShown> evacuationsOf(const State &state)
+{
+    std::vector<Operators::EvacuationShown> evacuations;
+    const Scheduling::ServerRegistry &registry = state.m_scheduler.m_registry;
+    for (const FailureDomainId &domain : registry.m_evacuatedDomains) {
+        Operators::EvacuationShown shown{domain, 0, 0};
+        for (const auto &[id, known] : registry.m_servers) {
+            const bool isInDomain = known.m_server.m_domain == domain;
+            shown.m_servers += isInDomain ? 1 : 0;
+            shown.m_running += isInDomain ? static_cast<std::uint32_t>(known.m_running.size()) : 0;
+        }
+        evacuations.push_back(std::move(shown));
+    }
+    return evacuations;
+}
+
 Operators::StatusShown statusOf(const State &state, TimePoint now)
 {
     Operators::StatusShown status;
@@ -168,6 +185,7 @@
     status.m_ready = state.m_ready;
     status.m_requestsInFlight = state.m_exchanges.size();
     status.m_rollout = rolloutOf(state, status.m_version);
+    status.m_evacuations = evacuationsOf(state);
     status.m_servers = serversOf(state, now);
     return status;
 }
--- a/src/host/operatortablesource.cpp
+++ b/src/host/operatortablesource.cpp
@@ -52,6 +52,7 @@
 {
     ConfigurationSource source;
     source.m_configurationTable = Configuration::ConfigurationTableName;
+    source.m_evacuationPrefix = Configuration::storedRowName({RowKind::Evacuation, {}});
     source.m_serverTable = Configuration::ConfigurationTableName;
     source.m_updateCatalogue = updateCatalogue;
     source.m_serverIdOf = serverIdOf;
--- a/src/operators/codec.cpp
+++ b/src/operators/codec.cpp
@@ -113,12 +113,22 @@
         list.push_back(Json{{"server", server.m_server.text()},
                             {"service", server.m_service.text()},
                             {"leaving", server.m_isDraining},
+                            {"evacuated", server.m_isEvacuated},
                             {"sickness", server.m_unhealthyProbability},
                             {"running", server.m_running}});
     }
     return list;
 }
 
+Json evacuationsJson(const std::vector<EvacuationShown> &evacuations)
+{
+    Json list = Json::array();
+    for (const EvacuationShown &evacuation : evacuations) {
+        list.push_back(Json{{"domain", evacuation.m_domain.text()}, {"servers", evacuation.m_servers}, {"running", evacuation.m_running}});
+    }
+    return list;
+}
+
 EncodedReply encode(const RolloutShown &rollout)
 {
     return {Http::Status::Ok, rolloutJson(rollout).dump()};
@@ -132,6 +142,7 @@
         json["ageMilliseconds"] = std::chrono::duration_cast<std::chrono::milliseconds>(*status.m_age).count();
     }
     json["configuration"] = rolloutJson(status.m_rollout);
+    json["evacuations"] = evacuationsJson(status.m_evacuations);
     json["servers"] = serversJson(status.m_servers);
     return {Http::Status::Ok, json.dump()};
 }
--- a/tests/configuration/catalogue.cpp
+++ b/tests/configuration/catalogue.cpp
@@ -12,7 +12,7 @@
 /// Generates a row from few names and values, some of them invalid, so that changes often write the same rows.
 Row generateRow(std::uint64_t version)
 {
-    const auto kind = *rc::gen::element(RowKind::Service, RowKind::Server, RowKind::Route, RowKind::Workspace, RowKind::Key);
+    const auto kind = *rc::gen::element(RowKind::Service, RowKind::Server, RowKind::Route, RowKind::Workspace, RowKind::Key, RowKind::Evacuation);
     Row row{{kind, *rc::gen::element<std::string>("a", "b", "c")}, version, {}, *rc::gen::weightedElement<bool>({{3, false}, {1, true}})};
     for (const std::string &column : Configuration::columnsOf(kind)) {
         const auto value = *rc::gen::element<std::string>("", "a", "b", "1", "yes", "no", "/p", "/p/q");
--- a/tests/processes/test_evacuation.py
+++ b/tests/processes/test_evacuation.py
@@ -1,10 +1,11 @@
 """Evacuation of failure domains through rows of the platform's operator, with real processes. Such rows had no effect: servers of the failure domain
 went on getting requests."""
 
+import json
 import time
 import unittest
 
-from fleet import eventually
+from fleet import Fleet, bearer, cli, eventually, request
 from test_platform import PlatformFleet, send
 
 EVACUATE_SECONDS = 5  # Time after which no request may start in the failure domain.
@@ -57,5 +58,33 @@
             self.assertEqual([self.runs(fleet, number) for number in range(2)], before)
 
 
+class OperatorTable(unittest.TestCase):
+    """The operators' table had no rows for evacuations."""
+
+    def test_evacuation_by_the_command_line_is_shown_and_taken_back(self):
+        with Fleet(hosts=2, backends=2) as fleet:
+            key = fleet.configure()
+            host = fleet.hosts[0]
+            runs = lambda: sum(fleet.backends[0].control("/standin/runs")["runs"].values())
+            fleet.set(host, "evacuation/d0", "reason=power")
+            fleet.set(host, "evacuation/d9")
+            self.assertTrue(eventually(lambda: all(len(each.events("domain-evacuated")) == 2 for each in fleet.hosts), EVACUATE_SECONDS))
+            before = runs()
+            for _ in range(20):
+                for each in fleet.hosts:
+                    self.assertEqual(request(each.callers, "GET", "/a", bearer(key)).status, 200)
+            self.assertEqual(runs(), before)
+            status = json.loads(cli(host, "status")[1])
+            self.assertEqual([(each["domain"], each["servers"]) for each in status["evacuations"]], [("d0", 1), ("d9", 0)])
+            self.assertEqual([each["evacuated"] for each in status["servers"]], [True, False])
+            code, csv, _ = cli(host, "table", "show", "--csv", "-")
+            self.assertEqual((code, "evacuation" in csv), (0, False))
+            code, _, err = cli(host, "table", "set", "evacuation/d1", "cause=power")
+            self.assertEqual((code, "RW0203" in err), (1, True), err)
+            self.assertEqual(cli(host, "table", "erase", "evacuation/d0")[0], 0)
+            self.assertTrue(eventually(lambda: all(each.events("domain-restored") for each in fleet.hosts), EVACUATE_SECONDS))
+            self.assertTrue(eventually(lambda: request(host.callers, "GET", "/a", bearer(key)).status == 200 and runs() > before))
+
+
 if __name__ == "__main__":
     unittest.main()
