Order versions of the store by its era, and write lost claims again

After the store was restored from an older copy (header Store-Era one higher), hosts ignored every row whose version was smaller than the one they knew: rewritten servers were never listed, lost ones kept, the operator's rewrite could be missed, and hosts whose records were lost stayed unregistered. A request whose claim was lost could run once more on another host.

Cause: versions were compared as plain numbers, though a restored store issues numbers again, and nothing read the era.

A later era leads to a full read, also without a 410; a replica takes a table of a later era over as a whole, and deltas stay within one era. Conditions on versions of an earlier era aren't sent. Lost edits of the operators' table are logged, withdrawn keys stay withdrawn in a process that knew of it.

--- a/include/ragwortrelay/detail/host/handlers.h
+++ b/include/ragwortrelay/detail/host/handlers.h
@@ -212,7 +212,7 @@
 void propagateChanges(State &state, Fleet::TableKind kind, TimePoint now);
 
 /// Compares the table positions of both hosts and sends the other one the changes that it lacks.
-void compareTables(State &state, const HostId &from, const Fleet::Heartbeat &heartbeat, TimePoint now);
+void compareTables(State &state, const HostId &from, const Fleet::Heartbeat &heartbeat, TimePoint now, Actions &actions);
 
 /// Stores the table positions that a follower reports. What follows from the positions of all is only updated if they have changed.
 void recordFollowerTables(State &state, const HostId &from, const Fleet::Heartbeat &heartbeat);
@@ -270,6 +270,25 @@
 /// Starts a call to the store.
 void startCall(State &state, const RunningCall &running, Store::Call call, Actions &actions);
 
+// Eras of the store
+
+/// Records an era of the store that a response or another host has shown. A later era than the known one means that the store was restored
+/// from an older copy and that acknowledged writes may be lost.
+void observeStoreEra(State &state, Store::Era era, TimePoint now, Actions &actions);
+
+/// Returns whether a version is of the latest known era, so that it may stand in a precondition.
+bool isOfStoreEra(const State &state, Store::Version version);
+
+/// Logs the rows of the operators' table whose content differs from what this host has: edits that the store has lost.
+/// Precondition: the rows are those of a later era, and the operators' table doesn't have them yet.
+void reportLostRows(State &state, const ChangedRows &rows, Actions &actions);
+
+/// Remembers which workspace keys are withdrawn, and removes from the rows those that only the restored store still has.
+void dropWithdrawnKeys(State &state, ChangedRows &rows, bool isEraChanged, Actions &actions);
+
+/// Starts to write the claims again that this host remembers, as the store may have lost them.
+void recoverClaims(State &state, Store::Era era, TimePoint now, Actions &actions);
+
 // Host records
 
 /// Registers this host if it isn't registered, and erases the records of hosts that are gone while this host leads.
--- a/include/ragwortrelay/dispatch/claimledger.h
+++ b/include/ragwortrelay/dispatch/claimledger.h
@@ -4,6 +4,7 @@
 #include <ragwortrelay/core/time.h>
 #include <ragwortrelay/dispatch/claimexpiry.h>
 #include <ragwortrelay/dispatch/claimrecord.h>
+#include <ragwortrelay/dispatch/claimrecovery.h>
 #include <ragwortrelay/dispatch/outcome.h>
 #include <ragwortrelay/reporting/counters.h>
 
@@ -37,6 +38,7 @@
     std::size_t m_maxReadCalls = 64; ///< Maximum number of concurrent reads.
     std::size_t m_maxClaims = 10'000; ///< Maximum number of claims in memory.
     ClaimExpirySettings m_expiry;
+    ClaimRecoverySettings m_recovery;
 
     friend bool operator==(const ClaimSettings &, const ClaimSettings &) = default;
 };
@@ -122,6 +124,7 @@
     std::uint64_t m_version = 0; ///< Version of the row that the next write expects.
     std::optional<std::uint64_t> m_acquireBaseVersion; ///< Version that the last write of the claim as running expected; empty if there was none.
     bool m_isAcquireInFlight = false; ///< Whether the write in flight sets the claim to running.
+    bool m_isLost = false; ///< The store has lost the claim as running, so that the final result is written without it.
     bool m_isRunningElsewhere = false; ///< Whether the last successful read found a running claim of another attempt.
     ClaimCallId m_call = 0; ///< Last store call for this claim.
     TimePoint m_nextReadAt; ///< Earliest time of the next read.
@@ -137,6 +140,7 @@
         Read,
         ReadEpoch,
         Sweep,
+        Recover,
         Other,
     };
     Kind m_kind{};
@@ -147,6 +151,8 @@
 struct ClaimLedger {
     ClaimSettings m_settings;
     ClaimExpiry m_expiry;
+    ClaimRecovery m_recovery;
+    Store::Era m_storeEra = 0; ///< Latest known era of the store.
     std::map<Store::RowKey, Claim> m_claims;
     std::map<ClaimantId, Store::RowKey> m_keys; ///< Keys by claimant, including waiters.
     std::deque<Store::RowKey> m_acquireQueue; ///< Pending writes of running claims.
@@ -172,6 +178,10 @@
 /// Precondition: the result is Released only if no byte of the request can have been sent, or the backend server reported that it was not executed.
 void completeClaim(ClaimLedger &ledger, ClaimantId claimant, const ClaimResult &result, TimePoint now, ClaimOutput &output);
 
+/// Records the era of the store. After a later one than the known one, no key is claimed for a while, and this host writes the claims again
+/// that it holds or remembers. Not thread-safe on one ledger.
+void onStoreEra(ClaimLedger &ledger, Store::Era era, TimePoint now, ClaimOutput &output);
+
 /// Processes the result of a store call. Not thread-safe on one ledger.
 void onClaimCallCompleted(ClaimLedger &ledger, ClaimCallId call, const Store::Result &result, TimePoint now, ClaimOutput &output);
 
--- a/include/ragwortrelay/fleet/messages.h
+++ b/include/ragwortrelay/fleet/messages.h
@@ -26,7 +26,7 @@
 /// Number of replicated tables.
 inline constexpr std::size_t TableKinds = 3;
 
-/// Position up to which a host has replicated one table.
+/// Position up to which a host has replicated one table. Its versions contain the era of the store.
 struct ReplicaPosition {
     std::uint64_t m_version = 0; ///< Version of the store up to which the table is known; 0 for an unknown table.
     std::uint64_t m_changed = 0; ///< Version of the last known change.
--- a/include/ragwortrelay/fleet/tablereplica.h
+++ b/include/ragwortrelay/fleet/tablereplica.h
@@ -21,7 +21,8 @@
     std::vector<std::optional<std::string>> m_parts; ///< Received parts by their position; empty for those that are missing.
 };
 
-/// Replica of a table of the store that hosts keep up to date among one another. Erased rows are retained for a while, so that other hosts
+/// Replica of a table of the store that hosts keep up to date among one another. Versions are ordered by their eras first; after a change
+/// of the era the table is taken over as a whole, from the store or from a host of the later era. Erased rows are retained for a while, so that other hosts
 /// can be told which rows were erased.
 struct TableReplica {
     std::map<std::string, Store::Row> m_rows; ///< Rows by name, including retained erased ones.
@@ -55,8 +56,8 @@
 /// at least the same changes. Not thread-safe on one replica.
 void applyConfirmation(TableReplica &table, const ReplicaPosition &remote, TimePoint confirmedAt);
 
-/// Returns the changes that another host lacks, split into parts. Empty if it lacks none, or if the changes are too large for a delta and
-/// have to be read from the store.
+/// Returns the changes that another host lacks, split into parts; the whole table for a host of an earlier era. Empty if it lacks none, or if the changes are
+/// too large for a delta and have to be read from the store.
 std::vector<DeltaPart> deltaFor(const TableReplica &table, TableKind kind, const ReplicaPosition &remote);
 
 /// Applies one part of a delta. Returns whether any row has changed. Not thread-safe on one replica.
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -248,10 +248,14 @@
     RandomGenerator m_random;
     Fleet::Incarnation m_incarnation = 0;
     Store::ClockOffset m_storeClock;
+    std::optional<Store::Era> m_storeEra; ///< Latest era of the store that this host knows of; empty before the first response or heartbeat.
     std::array<ReplicatedTable, Fleet::TableKinds> m_tables; ///< Tables by TableKind.
     std::shared_ptr<Configuration::Catalogue> m_catalogue; ///< Empty before the first configuration. A catalogue that a request holds is not changed.
     Configuration::Table m_operatorTable; ///< The operators' table as this host knows it.
     Fleet::Membership m_membership;
+    Fleet::Membership m_unconfirmedMembers; ///< Hosts that were registered in an earlier era of the store; they count as registered for a while.
+    TimePoint m_unconfirmedUntil{}; ///< Time until which they do.
+    std::set<std::string> m_withdrawnKeys; ///< Names of the rows of workspace keys that were withdrawn or erased during the life of this process.
     TimePoint m_membershipChangedAt{};
     Fleet::Leadership m_leadership;
     Fleet::ReplyTimeout m_leaderTimeout; ///< Reply time of the present leader to placement requests.
--- a/include/ragwortrelay/loop/storeclient.h
+++ b/include/ragwortrelay/loop/storeclient.h
@@ -27,7 +27,7 @@
 /// Functions that encode store calls as HTTP requests and decode their responses.
 struct StoreFormat {
     StoreRequest (*m_encode)(const Store::Call &call) = nullptr;
-    Store::Result (*m_decode)(const Store::Call &call, std::uint16_t status, const std::string &body) = nullptr;
+    Store::Result (*m_decode)(const Store::Call &call, const Http::ResponseHead &head, const std::string &body) = nullptr;
 };
 
 /// Settings of the connections to the store.
--- a/include/ragwortrelay/store/store.h
+++ b/include/ragwortrelay/store/store.h
@@ -11,9 +11,41 @@
 /// Calls to the platform's transactional store and their results, independent of the wire format.
 namespace RagwortRelay::Store {
 
-/// Version that the store increases with each transaction; 0 stands for none.
+/// Number that the store increases each time it is restored from an older copy; 0 for a store that sends none.
+using Era = std::uint64_t;
+
+/// Era and number of a transaction in one integer, so that versions are ordered by their eras first; 0 stands for none. A restored store
+/// assigns the numbers after its copy again, in the next era.
 using Version = std::uint64_t;
 
+/// Bits of a version that hold the number of the transaction: enough for 10,000 transactions a second during 55 years.
+inline constexpr unsigned VersionNumberBits = 44;
+
+/// Largest number of a transaction that a version can hold.
+inline constexpr std::uint64_t MaxVersionNumber = (std::uint64_t{1} << VersionNumberBits) - 1;
+
+/// Largest era that a version can hold. Versions stay in the range of signed integers, in which they are logged.
+inline constexpr Era MaxEra = (Era{1} << (63U - VersionNumberBits)) - 1;
+
+/// Returns the version of a transaction. Preconditions: the era and the number are at most MaxEra and MaxVersionNumber. Thread-safe, like
+/// all functions here.
+constexpr Version makeVersion(Era era, std::uint64_t number)
+{
+    return (era << VersionNumberBits) | number;
+}
+
+/// Returns the era of a version.
+constexpr Era eraOf(Version version)
+{
+    return version >> VersionNumberBits;
+}
+
+/// Returns the number of a version's transaction, which is what the store itself calls its version.
+constexpr std::uint64_t numberOf(Version version)
+{
+    return version & MaxVersionNumber;
+}
+
 /// Time of the store's own clock, which runs at a steady rate.
 using StoreTime = std::chrono::milliseconds;
 
@@ -106,12 +138,15 @@
 /// The transaction was rejected because a precondition failed. Nothing was written.
 struct Conflict {
     std::vector<Row> m_rows; ///< Current rows of the preconditions.
+    Era m_era = 0; ///< Era of the store when it replied.
 
     friend bool operator==(const Conflict &, const Conflict &) = default;
 };
 
 /// The store no longer has the changes after the version. The table must be read in full.
 struct HistoryCompacted {
+    Era m_era = 0; ///< Era of the store when it replied.
+
     friend bool operator==(const HistoryCompacted &, const HistoryCompacted &) = default;
 };
 
@@ -132,4 +167,7 @@
 /// Result of any call to the store.
 using Result = std::variant<RowsRead, Committed, Conflict, HistoryCompacted, Refused, NoResponse>;
 
+/// Returns the era of the store when it replied; nothing for a result that doesn't tell it.
+std::optional<Era> eraOf(const Result &result);
+
 }
--- a/include/ragwortrelay/store/tablewatcher.h
+++ b/include/ragwortrelay/store/tablewatcher.h
@@ -42,7 +42,7 @@
     std::vector<Row> m_changedRows; ///< Rows of the empty part from the last response, or from the full read that it completed.
     bool m_isFullRead = false; ///< m_changedRows holds the whole table.
     std::map<std::string, Row> m_fullReadRows; ///< Rows by name from a full read that takes several calls.
-    Version m_fullReadVersion = 0; ///< Version of the first call of the full read. Later changes are watched afterwards.
+    Version m_fullReadVersion = 0; ///< Version of the first call of the full read. Later changes are watched afterwards; a change of the era starts it anew.
     StoreTime m_fullReadTime{}; ///< Store time of the first call of the full read.
     Version m_version = 0; ///< Version up to which the rows are known; 0 before the first full read.
     bool m_needsFullRead = true; ///< The table must be read in full.
@@ -65,7 +65,8 @@
     Failed,
 };
 
-/// Applies the result of the running call. Not thread-safe on one watcher.
+/// Applies the result of the running call. A result of a later era than the known one leads to a full read, since the store may have
+/// assigned the versions after the known one again; a result of an earlier era counts as failed. Not thread-safe on one watcher.
 /// Precondition: a call is running.
 WatchOutcome applyResponse(TableWatcher &watcher, const Result &result, ClockOffset &clock, TimePoint now);
 
--- a/src/dispatch/claimledger.cpp
+++ b/src/dispatch/claimledger.cpp
@@ -133,6 +133,10 @@
             continue; // The claim was removed or has changed its step or goal since.
         }
         Claim &claim = found->second;
+        if (claim.m_version > 0 && Store::eraOf(claim.m_version) < ledger.m_storeEra) { // The version may stand for another content by now.
+            scheduleRead(claim, Duration::zero(), TimePoint{});
+            continue;
+        }
         claim.m_step = Step::Writing;
         claim.m_call = call;
         claim.m_isAcquireInFlight = goal == Goal::Acquire;
@@ -155,7 +159,9 @@
     while (ledger.m_writeCalls < ledger.m_settings.m_maxWriteCalls && (!ledger.m_acquireQueue.empty() || allowsCompletionsOnly)) {
         Store::Transaction transaction;
         ClaimCallPurpose purpose{Kind::Write, {}};
-        fillBatch(ledger, ledger.m_acquireQueue, Goal::Acquire, transaction, purpose);
+        if (!ledger.m_recovery.m_isInGrace) {
+            fillBatch(ledger, ledger.m_acquireQueue, Goal::Acquire, transaction, purpose);
+        }
         fillBatch(ledger, ledger.m_completionQueue, Goal::Complete, transaction, purpose);
         if (transaction.m_writes.empty()) {
             return;
@@ -253,6 +259,9 @@
     if (claim.m_isAcquireInFlight) {
         return queueWrite(ledger, key, claim); // The acquisition was cancelled while its write was in flight.
     }
+    if (isFinal(claim.m_result.m_state)) {
+        rememberClaim(ledger.m_recovery, ledger.m_settings.m_recovery, key, makeRecord(ledger, claim), now);
+    }
     removeClaim(ledger, key, now);
 }
 
@@ -345,7 +354,10 @@
     const bool isRunning = isOurs && record->m_state == ClaimState::Running;
     // A write of this host whose result was lost can still take effect as long as the row has the version that the write expects.
     const bool mayStillCommit = !isOurs && claim.m_result.m_state == ClaimState::Released && claim.m_acquireBaseVersion == version;
-    if (!isRunning && !mayStillCommit) {
+    const bool isOfEarlierEra = claim.m_version > 0 && Store::eraOf(claim.m_version) < ledger.m_storeEra;
+    const bool isFree = !row || (record && !isOurs && record->m_state == ClaimState::Released);
+    claim.m_isLost = isFinal(claim.m_result.m_state) && isFree && (claim.m_isLost || isOfEarlierEra);
+    if (!isRunning && !mayStillCommit && !claim.m_isLost) {
         return removeClaim(ledger, key, now);
     }
     claim.m_version = version;
@@ -407,6 +419,39 @@
     claim.m_waiters = std::move(remaining);
 }
 
+/// Refuses all requests that wait for the acquisition of a claim, and cancels it.
+void refuseAcquisition(ClaimLedger &ledger, const Store::RowKey &key, Claim &claim, TimePoint now, ClaimOutput &output)
+{
+    const Problem problem = claim.m_isRunningElsewhere ? problemAlreadyRunning() : problemUnavailable();
+    deliverOutcome(ledger, claim.m_claimant, problem, output);
+    const std::deque<Claim::Waiter> waiters = std::exchange(claim.m_waiters, {});
+    for (const Claim::Waiter &waiter : waiters) {
+        deliverOutcome(ledger, waiter.m_claimant, problem, output);
+    }
+    cancelAcquisition(ledger, key, claim, now, output);
+}
+
+/// Returns whether a claim that is to be written again as running is still held.
+bool isStillHeld(const ClaimLedger &ledger, const Store::RowKey &key, const ClaimRecord &record)
+{
+    const auto claim = ledger.m_claims.find(key);
+    return claim != ledger.m_claims.end() && claim->second.m_step == Step::Held && claim->second.m_attempt == record.m_attempt;
+}
+
+/// Starts the next transaction that writes claims again.
+void startRecoveryWrite(ClaimLedger &ledger, TimePoint now, ClaimOutput &output)
+{
+    std::erase_if(ledger.m_recovery.m_pending, [&](const auto &entry) {
+        const PendingRecovery &pending = entry.second;
+        const bool isRunning = pending.m_record.m_state == ClaimState::Running;
+        return isRunning && !pending.m_isInFlight && !isStillHeld(ledger, entry.first, pending.m_record);
+    });
+    if (const auto transaction = nextRecoveryWrite(ledger.m_recovery, ledger.m_settings.m_recovery, now)) {
+        Reporting::count(ledger.m_counters, "claim_transactions");
+        startCall(ledger, *transaction, {Kind::Recover, {}}, output);
+    }
+}
+
 void tickClaim(ClaimLedger &ledger, const Store::RowKey &key, Claim &claim, TimePoint now, ClaimOutput &output)
 {
     expireWaiters(ledger, claim, now, output);
@@ -441,6 +486,14 @@
         claim.m_waiters.push_back({request.m_claimant, request.m_deadline});
         return;
     }
+    const auto recovered = ledger.m_recovery.m_pending.find(request.m_key);
+    if (recovered != ledger.m_recovery.m_pending.end() && isFinal(recovered->second.m_record.m_state)) {
+        return deliverOutcome(ledger, request.m_claimant, finishedOutcome(recovered->second.m_record.m_state, {}), output);
+    }
+    if (ledger.m_recovery.m_isInGrace) {
+        Reporting::count(ledger.m_counters, "claims_refused{reason=\"store-restored\"}");
+        return deliverOutcome(ledger, request.m_claimant, problemUnavailable(), output);
+    }
     const bool isFull = ledger.m_claims.size() >= ledger.m_settings.m_maxClaims;
     const bool isDown = isTableDown(ledger);
     if (isFull || (isDown && now < ledger.m_nextProbeAt)) {
@@ -487,6 +540,28 @@
     queueWrite(ledger, key, claim);
 }
 
+void onStoreEra(ClaimLedger &ledger, Store::Era era, TimePoint now, ClaimOutput &output)
+{
+    if (era <= ledger.m_storeEra) {
+        return;
+    }
+    ledger.m_storeEra = era;
+    startRecovery(ledger.m_recovery, ledger.m_settings.m_recovery, now);
+    std::vector<Store::RowKey> keys;
+    keys.reserve(ledger.m_claims.size());
+    for (const auto &[key, claim] : ledger.m_claims) {
+        keys.push_back(key);
+    }
+    for (const Store::RowKey &key : keys) {
+        Claim &claim = ledger.m_claims.at(key);
+        if (claim.m_step == Step::Held) {
+            recoverClaim(ledger.m_recovery, key, makeRecord(ledger, claim));
+        } else if (claim.m_goal == Goal::Acquire) {
+            refuseAcquisition(ledger, key, claim, now, output);
+        }
+    }
+}
+
 void onClaimCallCompleted(ClaimLedger &ledger, ClaimCallId call, const Store::Result &result, TimePoint now, ClaimOutput &output)
 {
     const auto found = ledger.m_calls.find(call);
@@ -495,6 +570,9 @@
     }
     const ClaimCallPurpose purpose = std::move(found->second);
     ledger.m_calls.erase(found);
+    if (const auto era = Store::eraOf(result)) {
+        onStoreEra(ledger, *era, now, output);
+    }
     const bool hasFailed = std::holds_alternative<Store::NoResponse>(result) || std::holds_alternative<Store::Refused>(result);
     ledger.m_consecutiveFailures = hasFailed ? ledger.m_consecutiveFailures + 1 : 0;
     switch (purpose.m_kind) {
@@ -512,6 +590,10 @@
     case Kind::Sweep:
         onSweepCompleted(ledger, result, output);
         break;
+    case Kind::Recover:
+        onRecoveryWritten(ledger.m_recovery, ledger.m_settings.m_recovery, result, ledger.m_counters, now);
+        startRecoveryWrite(ledger, now, output);
+        break;
     case Kind::Other:
         break;
     }
@@ -520,6 +602,8 @@
 
 void tickClaims(ClaimLedger &ledger, RandomGenerator &random, TimePoint now, ClaimOutput &output)
 {
+    ledger.m_recovery.m_isInGrace = ledger.m_recovery.m_isInGrace && now < ledger.m_recovery.m_graceUntil;
+    startRecoveryWrite(ledger, now, output);
     std::vector<Store::RowKey> keys;
     keys.reserve(ledger.m_claims.size());
     for (const auto &[key, claim] : ledger.m_claims) {
--- a/src/fleet/tablereplica.cpp
+++ b/src/fleet/tablereplica.cpp
@@ -118,9 +118,13 @@
 }
 
 /// Applies rows from the store or from another host. Returns whether any row has changed.
+/// A whole table of a later era counts as a change even without rows, so that hosts with rows of the earlier era learn that those are gone.
 bool applyRows(TableReplica &table, const std::vector<Store::Row> &rows, bool isFullTable, std::uint64_t version)
 {
-    bool changed = false;
+    bool changed = isFullTable && Store::eraOf(version) > Store::eraOf(table.m_version);
+    if (changed) {
+        table.m_changed = std::max(table.m_changed, version);
+    }
     std::set<std::string> names;
     for (const Store::Row &row : rows) {
         changed = applyRow(table, row) || changed;
@@ -227,7 +231,8 @@
 
 void applyConfirmation(TableReplica &table, const ReplicaPosition &remote, TimePoint confirmedAt)
 {
-    const bool holdsSameState = remote.m_version > 0 && table.m_version >= remote.m_changed && table.m_version > 0;
+    const bool isSameEra = Store::eraOf(remote.m_version) == Store::eraOf(table.m_version);
+    const bool holdsSameState = isSameEra && remote.m_version > 0 && table.m_version >= remote.m_changed && table.m_version > 0;
     if (!holdsSameState) {
         return;
     }
@@ -240,7 +245,9 @@
     if (table.m_version == 0 || remote.m_version >= table.m_changed) {
         return {};
     }
-    const std::uint64_t since = remote.m_version < table.m_compactedVersion ? 0 : remote.m_version;
+    // A host of an earlier era may have rows that this host never knew and that the store has lost, so it gets the whole table.
+    const bool isEarlierEra = Store::eraOf(remote.m_version) < Store::eraOf(table.m_version);
+    const std::uint64_t since = isEarlierEra || remote.m_version < table.m_compactedVersion ? 0 : remote.m_version;
     std::vector<const Store::Row *> rows = changedSince(table, since);
     if (since == 0) {
         std::erase_if(rows, [](const Store::Row *row) { return row->m_erased; });
@@ -261,7 +268,8 @@
 
 bool applyDelta(TableReplica &table, const DeltaPart &part)
 {
-    const bool isApplicable = part.m_since == 0 || part.m_since <= table.m_version;
+    const bool isSameEra = Store::eraOf(part.m_since) == Store::eraOf(table.m_version) && Store::eraOf(part.m_since) == Store::eraOf(part.m_version);
+    const bool isApplicable = part.m_since == 0 || (isSameEra && part.m_since <= table.m_version);
     const bool isValid = part.m_count <= MaxParts && part.m_index < part.m_count;
     if (part.m_version <= table.m_version || !isApplicable || !isValid) {
         return false;
--- a/src/host/claims.cpp
+++ b/src/host/claims.cpp
@@ -85,6 +85,16 @@
     perform(state, std::move(output), actions);
 }
 
+void recoverClaims(State &state, Store::Era era, TimePoint now, Actions &actions)
+{
+    if (!state.m_source.m_hasOperatorTable) {
+        return; // Claims are made only there.
+    }
+    ClaimOutput output;
+    Dispatch::onStoreEra(state.m_claims, era, now, output);
+    perform(state, std::move(output), actions);
+}
+
 void onClaimCallCompleted(State &state, Dispatch::ClaimCallId call, const Store::Result &result, TimePoint now, Actions &actions)
 {
     ClaimOutput output;
@@ -120,7 +130,7 @@
     if (!state.m_source.m_hasOperatorTable) {
         return TimePoint::max();
     }
-    return state.m_lastTick + (state.m_claims.m_claims.empty() ? IdleInterval : ClaimInterval);
+    return state.m_lastTick + (state.m_claims.m_claims.empty() && state.m_claims.m_recovery.m_pending.empty() ? IdleInterval : ClaimInterval);
 }
 
 }
--- a/src/host/fleet.cpp
+++ b/src/host/fleet.cpp
@@ -164,7 +164,7 @@
     if (!hadAcknowledgement && state.m_leadership.m_acknowledgedAt) {
         log(actions, LogLine("leader-found").with("leader", state.m_leadership.m_leader.text()));
     }
-    compareTables(state, from, heartbeat, now);
+    compareTables(state, from, heartbeat, now, actions);
     applyLeavingReports(state, from, heartbeat, now, actions);
     if (from == state.m_leadership.m_leader) {
         onLeaderHeard(state, incarnation, now);
@@ -185,6 +185,7 @@
 
 void onDelta(State &state, const Fleet::DeltaPart &part, TimePoint now, Actions &actions)
 {
+    observeStoreEra(state, Store::eraOf(part.m_version), now, actions);
     if (!Fleet::applyDelta(tableOf(state, part.m_table).m_replica, part)) {
         return;
     }
--- a/src/host/metrics.cpp
+++ b/src/host/metrics.cpp
@@ -52,6 +52,7 @@
     gauges["crash_candidates"] = static_cast<double>(state.m_scheduler.m_suspects.m_candidates.size());
     gauges["requests_quarantined"] = static_cast<double>(Scheduling::quarantinedRequests(state.m_scheduler, now).size());
     gauges["configuration_version"] = static_cast<double>(detail::configurationVersion(state));
+    gauges["store_era"] = static_cast<double>(state.m_storeEra.value_or(0));
     const auto age = detail::configurationAge(state, now);
     if (age) {
         gauges["configuration_age_seconds"] = secondsOf(*age);
--- a/src/host/operators.cpp
+++ b/src/host/operators.cpp
@@ -63,10 +63,47 @@
     return findings;
 }
 
+/// Returns whether an edit expects a version of an earlier era, which may stand for another content of its row by now.
+bool expectsEarlierEra(const State &state, const EditTable &edit)
+{
+    return std::ranges::any_of(edit.m_rows, [&](const Configuration::RowEdit &row) {
+        return row.m_baseVersion > 0 && Store::eraOf(row.m_baseVersion) < state.m_storeEra.value_or(0);
+    });
+}
+
+/// Answers an edit that expects versions of an earlier era with the present rows; nothing was written.
+void refuseEarlierEra(State &state, Operators::CommandId call, TimePoint now, Actions &actions)
+{
+    RunningEdit &running = state.m_edits.at(call);
+    if (!isOfStoreEra(state, tableOf(state, TableKind::Configuration).m_replica.m_version)) {
+        running.m_retryAt = now + RetryInterval; // The table of the present era has yet to be read.
+        return;
+    }
+    Operators::EditConflict conflict;
+    for (const Configuration::RowEdit &row : running.m_edit.m_rows) {
+        const auto stored = state.m_operatorTable.m_rows.find(row.m_key);
+        const bool isPresent = stored != state.m_operatorTable.m_rows.end();
+        conflict.m_storedRows.push_back(isPresent ? stored->second : Configuration::Row{row.m_key, 0, {}, true});
+    }
+    const EditTable edit = running.m_edit;
+    finishEdit(state, call, edit, conflict, actions);
+}
+
+/// Replies to an edit of which a restore of the store may have taken the effect.
+void finishAsRestored(State &state, Operators::CommandId call, Actions &actions)
+{
+    const EditTable edit = state.m_edits.at(call).m_edit;
+    const Operators::EditOutcomeUnknown outcome{"the store was restored from an older copy meanwhile; look at the rows before you repeat the edit", true};
+    finishEdit(state, call, edit, outcome, actions);
+}
+
 /// Replies to a durable edit once it is in force on most hosts and on all hosts that send heartbeats to the leader.
 void awaitRollout(State &state, Operators::CommandId call, TimePoint now, Actions &actions)
 {
     RunningEdit &running = state.m_edits.at(call);
+    if (!isOfStoreEra(state, running.m_committed)) {
+        return finishAsRestored(state, call, actions);
+    }
     const bool isInForce = tableOf(state, TableKind::Configuration).m_replica.m_changed >= running.m_committed;
     if (isInForce && hasQuorum(state, now) && state.m_minConfigurationVersion >= running.m_committed) {
         const EditTable edit = running.m_edit;
@@ -97,6 +134,9 @@
     if (running.m_committed > 0) {
         return awaitRollout(state, call, now, actions);
     }
+    if (expectsEarlierEra(state, running.m_edit)) {
+        return running.m_mayBeCommitted ? finishAsRestored(state, call, actions) : refuseEarlierEra(state, call, now, actions);
+    }
     if (!hasQuorum(state, now) && !running.m_mayBeCommitted) {
         return awaitQuorum(state, call, now, actions);
     }
@@ -135,7 +175,7 @@
 {
     Operators::RolloutShown rollout;
     rollout.m_version = version;
-    rollout.m_isInForce = state.m_catalogue && tableOf(state, TableKind::Configuration).m_replica.m_changed >= version;
+    rollout.m_isInForce = state.m_catalogue && isOfStoreEra(state, version) && tableOf(state, TableKind::Configuration).m_replica.m_changed >= version;
     rollout.m_minConfigurationVersion = state.m_minConfigurationVersion;
     rollout.m_reachableHosts = state.m_reachableHosts;
     rollout.m_hosts = static_cast<std::uint32_t>(std::max<std::size_t>(1, state.m_membership.size()));
@@ -221,6 +261,9 @@
     if (const auto *committed = std::get_if<Store::Committed>(&result)) {
         running.m_committed = committed->m_version;
         running.m_mayBeCommitted = true;
+        if (expectsEarlierEra(state, edit)) {
+            return finishAsRestored(state, call, actions); // The versions that it expected may have stood for other rows.
+        }
         return awaitRollout(state, call, now, actions);
     }
     if (const auto *conflict = std::get_if<Store::Conflict>(&result)) {
--- a/src/host/registration.cpp
+++ b/src/host/registration.cpp
@@ -51,16 +51,28 @@
     return row == rows.end() || row->second.m_erased ? 0 : row->second.m_version;
 }
 
+/// Returns whether the store has the present record of this host. The membership may have it although the store has lost it.
 bool isRegistered(const State &state)
 {
-    const auto record = state.m_membership.find(state.m_settings.m_host);
-    return record != state.m_membership.end() && record->second == ownRecord(state);
+    const auto &rows = tableOf(state, TableKind::Hosts).m_replica.m_rows;
+    const auto row = rows.find(state.m_settings.m_host.text());
+    if (row == rows.end() || row->second.m_erased) {
+        return false;
+    }
+    const auto record = Fleet::decodeHostRecord(state.m_settings.m_host, row->second.m_value);
+    return record && *record == ownRecord(state);
+}
+
+/// Returns whether this host has the table of the hosts as of the latest era. Versions of an earlier one may stand for other rows.
+bool isTableOfStoreEra(const State &state)
+{
+    return isOfStoreEra(state, tableOf(state, TableKind::Hosts).m_replica.m_version);
 }
 
 void registerSelf(State &state, TimePoint now, Actions &actions)
 {
     Registration &registration = state.m_registration;
-    const bool isTableRead = tableOf(state, TableKind::Hosts).m_replica.m_confirmedAt.has_value();
+    const bool isTableRead = tableOf(state, TableKind::Hosts).m_replica.m_confirmedAt.has_value() && isTableOfStoreEra(state);
     if (!isTableRead || registration.m_isRunning || now < registration.m_nextAt || state.m_stopRequestedAt || isRegistered(state)) {
         return;
     }
@@ -70,7 +82,9 @@
     transaction.m_writes.push_back({hostRecordKey(state, name), Fleet::encodeHostRecord(ownRecord(state))});
     if (state.m_settings.m_secret.empty() && versionOf(state, SecretRow) == 0) {
         transaction.m_expected.push_back({hostRecordKey(state, SecretRow), 0});
-        transaction.m_writes.push_back({hostRecordKey(state, SecretRow), newSecret(state.m_random)});
+        // A host that knows the secret writes the same one again after the store has lost it, so that hosts go on understanding each other.
+        const std::string secret = state.m_secret.empty() ? newSecret(state.m_random) : state.m_secret;
+        transaction.m_writes.push_back({hostRecordKey(state, SecretRow), secret});
     }
     registration.m_isRunning = true;
     startCall(state, {CallPurpose::Register, {}}, transaction, actions);
@@ -82,7 +96,8 @@
     for (const auto &[host, record] : state.m_membership) {
         const auto contact = state.m_leadership.m_contacts.find(host);
         const bool isInContact = contact != state.m_leadership.m_contacts.end() && now - contact->second.m_receivedAt < GoneTimeout;
-        if (!isInContact && host != state.m_settings.m_host) {
+        const bool hasRecord = versionOf(state, host.text()) > 0;
+        if (!isInContact && hasRecord && host != state.m_settings.m_host) {
             return host;
         }
     }
@@ -91,7 +106,8 @@
 
 void unregisterGoneHost(State &state, TimePoint now, Actions &actions)
 {
-    const bool isDue = Fleet::isLeader(state.m_leadership) && now - state.m_leadingSince >= GoneTimeout && now >= state.m_unregisterAt;
+    const bool isDue =
+        Fleet::isLeader(state.m_leadership) && now - state.m_leadingSince >= GoneTimeout && now >= state.m_unregisterAt && isTableOfStoreEra(state);
     if (!isDue) {
         return;
     }
@@ -114,6 +130,10 @@
     if (state.m_settings.m_peerAddress.empty()) {
         return;
     }
+    if (!state.m_unconfirmedMembers.empty() && now >= state.m_unconfirmedUntil) {
+        state.m_unconfirmedMembers.clear();
+        applyMembership(state, now, actions);
+    }
     registerSelf(state, now, actions);
     unregisterGoneHost(state, now, actions);
 }
@@ -135,6 +155,9 @@
     if (conflict == nullptr) {
         return;
     }
+    if (!isTableOfStoreEra(state)) {
+        return; // The rows of the conflict are of an era of which the table has yet to be read.
+    }
     state.m_registration.m_nextAt = now;
     bool isChanged = false;
     for (const Store::Row &row : conflict->m_rows) {
@@ -166,6 +189,9 @@
             log(actions, LogLine("host-record-unreadable", Severity::Warning).with("record", name).with("detail", record.error().m_message));
         }
     }
+    if (now < state.m_unconfirmedUntil) {
+        membership.insert(state.m_unconfirmedMembers.begin(), state.m_unconfirmedMembers.end());
+    }
     if (membership != state.m_membership) {
         state.m_membership = std::move(membership);
         state.m_membershipChangedAt = now;
--- a/src/host/replication.cpp
+++ b/src/host/replication.cpp
@@ -87,7 +87,7 @@
 
 }
 
-void compareTables(State &state, const HostId &from, const Heartbeat &heartbeat, TimePoint now)
+void compareTables(State &state, const HostId &from, const Heartbeat &heartbeat, TimePoint now, Actions &actions)
 {
     if (heartbeat.m_tables.size() != Fleet::TableKinds) {
         return;
@@ -96,6 +96,9 @@
     for (std::size_t i = 0; i < Fleet::TableKinds; ++i) {
         const Fleet::ReplicaPosition &theirs = heartbeat.m_tables[i];
         ReplicatedTable &table = state.m_tables[i];
+        if (theirs.m_version > 0) {
+            observeStoreEra(state, Store::eraOf(theirs.m_version), now, actions);
+        }
         if (writtenAt) {
             Fleet::applyConfirmation(table.m_replica, theirs, *writtenAt - theirs.m_age);
         }
--- a/src/host/tables.cpp
+++ b/src/host/tables.cpp
@@ -98,10 +98,15 @@
 void applyConfiguration(State &state, TimePoint now, Actions &actions)
 {
     ReplicatedTable &table = tableOf(state, TableKind::Configuration);
-    const ChangedRows rows = Fleet::changedSince(table.m_replica, table.m_appliedVersion);
+    ChangedRows rows = Fleet::changedSince(table.m_replica, table.m_appliedVersion);
+    const bool isEraChanged = table.m_appliedVersion > 0 && Store::eraOf(table.m_replica.m_changed) > Store::eraOf(table.m_appliedVersion);
     table.m_appliedVersion = table.m_replica.m_changed;
     applyEvacuations(state, now, actions);
     if (state.m_source.m_hasOperatorTable) {
+        if (isEraChanged) {
+            reportLostRows(state, rows, actions);
+        }
+        dropWithdrawnKeys(state, rows, isEraChanged, actions);
         Configuration::updateTable(state.m_operatorTable, rows);
     }
     const std::int64_t before = configurationVersion(state);
@@ -351,6 +356,9 @@
     }
     const RunningCall running = call->second;
     state.m_calls.erase(call);
+    if (const auto era = Store::eraOf(response.m_result)) {
+        observeStoreEra(state, *era, now, actions);
+    }
     switch (running.m_purpose) {
     case CallPurpose::Watch:
         return onTableWatched(state, running.m_table, response.m_result, now, actions);
--- a/src/loop/storeclient.cpp
+++ b/src/loop/storeclient.cpp
@@ -111,7 +111,7 @@
 Store::Result StoreClient::decode(const PendingCall &pending) const
 {
     try {
-        return m_format.m_decode(pending.m_call, pending.m_connection->reader().head().m_status, pending.m_body);
+        return m_format.m_decode(pending.m_call, pending.m_connection->reader().head(), pending.m_body);
     } catch (const std::exception &exception) {
         return Store::NoResponse{std::string("the response can't be decoded: ") + exception.what()};
     }
--- a/src/store/tablewatcher.cpp
+++ b/src/store/tablewatcher.cpp
@@ -34,6 +34,19 @@
     watcher.m_confirmedAt = std::max(watcher.m_confirmedAt.value_or(instant), instant);
 }
 
+/// Returns the latest era from which the watcher has rows.
+Era knownEra(const TableWatcher &watcher)
+{
+    return std::max(eraOf(watcher.m_version), watcher.m_fullReadRows.empty() ? Era{0} : eraOf(watcher.m_fullReadVersion));
+}
+
+void requireFullRead(TableWatcher &watcher, TimePoint now)
+{
+    watcher.m_fullReadRows.clear();
+    watcher.m_needsFullRead = true;
+    watcher.m_nextAt = now;
+}
+
 WatchOutcome applyPage(TableWatcher &watcher, const RowsRead &read, const ClockOffset &clock)
 {
     if (watcher.m_fullReadRows.empty()) {
@@ -103,14 +116,21 @@
 {
     watcher.m_isRunning = false;
     watcher.m_changedRows.clear();
-    if (const auto *read = std::get_if<RowsRead>(&result)) {
+    const auto *read = std::get_if<RowsRead>(&result);
+    const bool isEarlierEra = read != nullptr && eraOf(read->m_version) < knownEra(watcher);
+    if (read != nullptr && !isEarlierEra) {
+        const bool continues = !watcher.m_needsFullRead || !watcher.m_fullReadRows.empty();
+        const bool isLaterEra = continues && eraOf(read->m_version) > knownEra(watcher);
         recordSuccess(watcher, *read, clock, now);
+        if (isLaterEra) {
+            requireFullRead(watcher, now);
+            return WatchOutcome::Unchanged;
+        }
         return watcher.m_needsFullRead ? applyPage(watcher, *read, clock) : applyChanges(watcher, *read, clock);
     }
     watcher.m_fullReadRows.clear();
     if (std::holds_alternative<HistoryCompacted>(result)) {
-        watcher.m_needsFullRead = true;
-        watcher.m_nextAt = now;
+        requireFullRead(watcher, now);
         return WatchOutcome::Unchanged;
     }
     recordFailure(watcher, now);
--- a/src/wire/datagram.cpp
+++ b/src/wire/datagram.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint32_t DatagramFormat = 2; ///< Version of the format, raised when a release can't read datagrams of earlier ones.
+constexpr std::uint32_t DatagramFormat = 3; ///< Version of the format, raised when a release can't read datagrams of earlier ones.
 constexpr std::size_t DatagramFieldCount = 4;
 constexpr std::size_t TagBytes = 8;
 constexpr std::size_t MaxDatagramBytes = 65536;
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -9,6 +9,8 @@
 //   slow         responds after an additional 400 ms
 //   lose-answer  executes transactions without responding; serves other requests
 //   late         never responds; executes transactions up to 2 s later
+// POST /standin/copy keeps a copy of all rows. POST /standin/restore returns to that copy, with its version, as a store does that lost its
+// latest writes; the header Store-Era then rises by one, and feeds after a version that the copy doesn't have get 410.
 // POST /standin/forget discards the history that feeds read. POST /standin/put?table=T&key=K writes the body as a row, and
 // POST /standin/erase?table=T&key=K deletes the row, as the platform's operator does. GET /standin/calls returns the number of calls.
 
@@ -156,7 +158,10 @@
 
     void handle(std::size_t endpoint, StandIn::Host::ExchangeId exchange, const Request &request)
     {
-        const Responder respond = [this, endpoint, exchange](const Response &response) { m_endpoints[endpoint]->respond(exchange, response); };
+        const Responder respond = [this, endpoint, exchange](Response response) {
+            response.m_headers.push_back({"Store-Era", std::to_string(m_era)});
+            m_endpoints[endpoint]->respond(exchange, response);
+        };
         if (request.path().starts_with("/standin/")) {
             return respond(handleControl(request));
         }
@@ -262,7 +267,8 @@
     {
         std::vector<FeedRequest> waiting;
         for (FeedRequest &feed : std::exchange(m_feeds, {})) {
-            const auto changes = m_rows.changes(feed.m_table, feed.m_after);
+            const bool isAhead = feed.m_after > m_rows.version(); // The store has lost that version.
+            const auto changes = isAhead ? std::nullopt : m_rows.changes(feed.m_table, feed.m_after);
             if (!changes) {
                 feed.m_respond({410, {}, {}});
             } else if (!changes->empty() || Clock::now() >= feed.m_deadline) {
@@ -333,6 +339,12 @@
                     m_faults[i] = request.argument("mode");
                 }
             }
+        } else if (request.path() == "/standin/copy") {
+            m_copy = m_rows;
+        } else if (request.path() == "/standin/restore") {
+            m_rows = m_copy;
+            ++m_era;
+            respondToFeeds();
         } else if (request.path() == "/standin/forget") {
             m_rows.discardHistory();
             respondToFeeds();
@@ -351,6 +363,8 @@
     std::vector<std::string> m_faults; ///< Fault of each endpoint.
     std::vector<std::unique_ptr<StandIn::Server>> m_endpoints;
     StandIn::Rows m_rows;
+    StandIn::Rows m_copy; ///< Rows to which the store can be restored.
+    std::uint64_t m_era = 0; ///< Number of restores.
     std::map<std::string, std::string> m_objects;
     std::vector<FeedRequest> m_feeds;
     std::uint64_t m_callCount = 0;
--- a/tests/dispatch/claimledger.cpp
+++ b/tests/dispatch/claimledger.cpp
@@ -277,3 +277,81 @@
         CHECK_FALSE(simulation.m_store.contains(key));
     }
 }
+
+// Guards against claims that a restored store has lost: their keys would be free for another host.
+TEST_CASE("a claim that the store has lost is written again")
+{
+    ClaimSimulation simulation(HostCount, 1);
+    SECTION("of a request that has ended")
+    {
+        simulation.m_store.copy();
+        simulation.send(0, "k", "body", ExecutionKind::Completed);
+        simulation.run(seconds(1));
+        REQUIRE(simulation.m_executionCounts["k"] == 1);
+        simulation.restoreStore();
+        simulation.run(seconds(10));
+        const auto second = simulation.send(1, "k", "body", ExecutionKind::Completed);
+        simulation.run(seconds(1));
+        CHECK(simulation.m_executionCounts["k"] == 1);
+        REQUIRE(simulation.m_attempts.at(second).m_outcome);
+        CHECK(std::get<Problem>(*simulation.m_attempts.at(second).m_outcome).m_id == ErrorId::RequestAnswerNotKept);
+    }
+    SECTION("of a request that still runs")
+    {
+        simulation.m_executionTime = seconds(9);
+        simulation.m_store.copy();
+        simulation.send(0, "k", "body", ExecutionKind::Completed);
+        simulation.run(seconds(1));
+        REQUIRE(simulation.m_executionCounts["k"] == 1);
+        simulation.restoreStore();
+        simulation.run(seconds(5));
+        const auto second = simulation.send(1, "k", "body", ExecutionKind::Completed);
+        simulation.run(seconds(20));
+        CHECK(simulation.m_executionCounts["k"] == 1);
+        CHECK(simulation.m_attempts.at(second).m_outcome);
+    }
+    CHECK(simulation.m_violations.empty());
+}
+
+TEST_CASE("keys are free for other requests once all hosts have written their claims again")
+{
+    ClaimSimulation simulation(HostCount, 1);
+    simulation.m_store.copy();
+    simulation.restoreStore();
+    simulation.run(seconds(3));
+    const auto early = simulation.send(0, "k", "body", ExecutionKind::Completed);
+    simulation.run(milliseconds(100));
+    CHECK(isReportedNotRun(simulation.m_attempts.at(early)));
+    simulation.run(seconds(6));
+    simulation.send(0, "k", "body", ExecutionKind::Completed);
+    simulation.run(seconds(1));
+    CHECK(simulation.m_executionCounts["k"] == 1);
+}
+
+// Hosts neither restart nor pause here: a claim that only they remember is lost with them, see docs/design/store-era.md.
+TEST_CASE("no key is executed twice when the store returns to copies that are some seconds old")
+{
+    rc::check("random requests, store faults, copies and restores", [] {
+        ClaimSimulation simulation(HostCount, *rc::gen::arbitrary<std::uint64_t>());
+        simulation.m_store.copy();
+        TimePoint copiedAt = simulation.m_now;
+        for (const SimulationEvent &event : *rc::gen::container<std::vector<SimulationEvent>>(generateEvent())) {
+            if (event.m_kind == 4 || simulation.m_now - copiedAt > seconds(10)) {
+                simulation.m_store.copy();
+                copiedAt = simulation.m_now;
+            } else if (event.m_kind == 5 && event.m_parameter < 20) {
+                simulation.run(milliseconds(event.m_parameter * 100));
+                simulation.restoreStore();
+            } else if (event.m_kind == 7) {
+                // Calls that take effect after their failure was reported could do so in another era; they are left out.
+                simulation.m_fault = event.m_parameter % 2 == 0 ? StoreFault::None : StoreFault::LosesResponses;
+            } else if (event.m_kind == 9) {
+                simulation.run(seconds(event.m_parameter % 4));
+            } else if (event.m_kind != 6) {
+                applyEvent(simulation, event);
+            }
+        }
+        recover(simulation);
+        RC_ASSERT(simulation.m_violations.empty());
+    });
+}
--- a/tests/fakes/claimsimulation.h
+++ b/tests/fakes/claimsimulation.h
@@ -114,6 +114,17 @@
         runOnHost(number, [this, number, id] { step(number, [&](auto &ledger, auto &output) { Dispatch::abandonClaim(ledger, id, m_now, output); }); });
     }
 
+    /// Restores the store from its copy. Each host hears of the new era within three seconds, as hosts do by their tables.
+    void restoreStore()
+    {
+        m_store.restore();
+        for (int number = 0; number < static_cast<int>(m_hosts.size()); ++number) {
+            runOnHostAfter(number, std::chrono::milliseconds(randomBelow(m_random, 3'000)), [this, number, era = m_store.era()] {
+                step(number, [&](auto &ledger, auto &output) { Dispatch::onStoreEra(ledger, era, m_now, output); });
+            });
+        }
+    }
+
     /// Advances the simulated time and performs the tasks that become due.
     void run(Duration duration)
     {
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -28,8 +28,9 @@
             return respond(this->transact(*transact, now));
         }
         const auto &watch = std::get<Store::WatchTable>(call);
-        if (watch.m_after < m_compactedVersion) {
-            return respond(Store::HistoryCompacted{});
+        const std::uint64_t after = Store::numberOf(watch.m_after);
+        if (after < m_compactedVersion || after > m_version) {
+            return respond(Store::HistoryCompacted{m_era});
         }
         m_watches.push_back({watch, now + Duration(watch.m_wait), std::move(respond)});
         tick(now);
@@ -43,7 +44,7 @@
         for (auto &watch : watches) {
             const std::vector<Store::Row> rows = changes(watch.m_call);
             if (!rows.empty() || now >= watch.m_until) {
-                watch.m_respond(Store::RowsRead{rows, false, m_version, timeAt(now)});
+                watch.m_respond(Store::RowsRead{rows, false, latestVersion(), timeAt(now)});
             } else {
                 m_watches.push_back(std::move(watch));
             }
@@ -71,6 +72,27 @@
         m_compactedVersion = m_version;
     }
 
+    /// Keeps a copy of all rows.
+    void copy()
+    {
+        m_copy = m_rows;
+        m_copyVersion = m_version;
+    }
+
+    /// Returns to the copy, as a store does that has lost its latest writes: its versions go back and are issued again in the next era.
+    void restore()
+    {
+        m_rows = m_copy;
+        m_version = m_copyVersion;
+        ++m_era;
+    }
+
+    /// Returns the number of restores.
+    [[nodiscard]] Store::Era era() const
+    {
+        return m_era;
+    }
+
     /// Tells whether a row exists.
     [[nodiscard]] bool contains(const Store::RowKey &key) const
     {
@@ -98,6 +120,19 @@
         Callback m_respond;
     };
 
+    /// Returns the latest version with its era.
+    [[nodiscard]] Store::Version latestVersion() const
+    {
+        return Store::makeVersion(m_era, m_version);
+    }
+
+    /// Returns a row with the era in its version. The store itself knows only the numbers.
+    [[nodiscard]] Store::Row asRead(Store::Row row) const
+    {
+        row.m_version = Store::makeVersion(m_era, row.m_version);
+        return row;
+    }
+
     static Store::StoreTime timeAt(TimePoint now)
     {
         constexpr std::int64_t Offset = 777'000; // In milliseconds. The clock of the store differs from those of the hosts.
@@ -107,7 +142,7 @@
     Store::Result read(const Store::ReadRows &call, TimePoint now)
     {
         ++m_calls;
-        Store::RowsRead result{{}, false, m_version, timeAt(now)};
+        Store::RowsRead result{{}, false, latestVersion(), timeAt(now)};
         for (const auto &[key, row] : m_rows) {
             const bool isWanted = key.m_table == call.m_table && key.m_part == call.m_part && key.m_name >= call.m_from && !row.m_erased;
             if (isWanted && (call.m_below.empty() || key.m_name < call.m_below)) {
@@ -115,7 +150,7 @@
                 if (result.m_hasMore) {
                     break;
                 }
-                result.m_rows.push_back(row);
+                result.m_rows.push_back(asRead(row));
             }
         }
         return result;
@@ -125,14 +160,14 @@
     {
         ++m_calls;
         ++m_writes;
-        Store::Conflict conflict;
+        Store::Conflict conflict{{}, m_era};
         bool areExpectationsMet = true;
         for (const auto &expectation : call.m_expected) {
             const auto row = m_rows.find(expectation.m_key);
             const Store::Version version = row == m_rows.end() || row->second.m_erased ? 0 : row->second.m_version;
-            areExpectationsMet = areExpectationsMet && version == expectation.m_version;
+            areExpectationsMet = areExpectationsMet && version == Store::numberOf(expectation.m_version);
             if (version > 0) {
-                conflict.m_rows.push_back(row->second);
+                conflict.m_rows.push_back(asRead(row->second));
             }
         }
         if (!areExpectationsMet) {
@@ -146,15 +181,15 @@
             m_rows[key] = {key, {}, m_version, true};
         }
         tick(now);
-        return Store::Committed{m_version, timeAt(now)};
+        return Store::Committed{latestVersion(), timeAt(now)};
     }
 
     [[nodiscard]] std::vector<Store::Row> changes(const Store::WatchTable &call) const
     {
         std::vector<Store::Row> rows;
         for (const auto &[key, row] : m_rows) {
-            if (key.m_table == call.m_table && row.m_version > call.m_after) {
-                rows.push_back(row);
+            if (key.m_table == call.m_table && row.m_version > Store::numberOf(call.m_after)) {
+                rows.push_back(asRead(row));
             }
         }
         std::ranges::sort(rows, {}, &Store::Row::m_version);
@@ -167,8 +202,11 @@
     }
 
     std::map<Store::RowKey, Store::Row> m_rows;
+    std::map<Store::RowKey, Store::Row> m_copy;
     std::vector<PendingWatch> m_watches;
-    Store::Version m_version = 0;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_copyVersion = 0;
+    Store::Era m_era = 0;
     Store::Version m_compactedVersion = 0;
     std::uint64_t m_calls = 0;
     std::uint64_t m_writes = 0;
--- a/tests/fleet/tablereplica.cpp
+++ b/tests/fleet/tablereplica.cpp
@@ -151,3 +151,70 @@
         RC_ASSERT(liveRows(follower) == liveRows(leader));
     });
 }
+
+namespace {
+
+constexpr Store::Version laterEra(std::uint64_t number)
+{
+    return Store::makeVersion(1, number);
+}
+
+/// Returns a replica that has read the whole table of a restored store.
+TableReplica readInLaterEra(TableReplica table, const std::vector<Store::Row> &rows, std::uint64_t number)
+{
+    Store::TableWatcher watcher;
+    watcher.m_changedRows = rows;
+    watcher.m_isFullRead = true;
+    watcher.m_needsFullRead = false;
+    watcher.m_version = laterEra(number);
+    applyStoreUpdate(table, watcher, Store::WatchOutcome::Changed);
+    return table;
+}
+
+}
+
+TEST_CASE("table replica after the store was restored from an older copy")
+{
+    const TableReplica before = replicaWithRows(9);
+    const TableReplica leader = readInLaterEra(before, {liveRow("r1", laterEra(1), "v"), liveRow("r2", laterEra(4), "rewritten")}, 4);
+    const std::map<std::string, std::string> expected{{"r1", "v"}, {"r2", "rewritten"}};
+
+    SECTION("rows with smaller numbers are taken over, and those that the store has lost are erased")
+    {
+        CHECK(liveRows(leader) == expected);
+        const auto changes = changedSince(leader, before.m_changed);
+        CHECK(changes.size() == 9); // Consumers hear of each row, also of the seven that are gone.
+    }
+
+    SECTION("a host of the earlier era gets the whole table and loses rows that the leader never knew")
+    {
+        TableReplica follower = before;
+        applyRow(follower, liveRow("unknown", 30, "lost"));
+        follower.m_version = 30;
+        synchronize(leader, follower);
+        CHECK(liveRows(follower) == expected);
+        CHECK(follower.m_version == laterEra(4));
+    }
+
+    SECTION("an empty table of the later era erases all rows of a host")
+    {
+        TableReplica follower = before;
+        synchronize(readInLaterEra({}, {}, 3), follower);
+        CHECK(liveRows(follower).empty());
+    }
+
+    SECTION("a host of the earlier era doesn't change one of the later era, and its confirmation doesn't count")
+    {
+        TableReplica other = leader;
+        for (const DeltaPart &part : deltaFor(before, TableKind::Servers, {})) {
+            CHECK_FALSE(applyDelta(other, part));
+        }
+        const auto confirmedAt = other.m_confirmedAt;
+        applyConfirmation(other, replicaPosition(before, TimePoint{}), TimePoint(std::chrono::seconds(9)));
+        CHECK(other.m_confirmedAt == confirmedAt);
+        CHECK(liveRows(other) == expected);
+        TableReplica late = before;
+        applyConfirmation(late, replicaPosition(leader, TimePoint{}), TimePoint(std::chrono::seconds(9)));
+        CHECK_FALSE(late.m_confirmedAt);
+    }
+}
