Send requests to other failure domains by a price

Operators pay for traffic between failure domains and callers wait longer for it. The fixed cost of 0.02 ignored the size of the request and was less than the cost of utilization, so half-busy servers of a host's own failure domain lost requests to idle ones elsewhere.

With a price in the new settings section `balancing`, the module scheduling/spillover decides: a request leaves its failure domain only while its own servers look unhealthy, are taken or are expected to be full (arrival rate and slope against the capacity of healthy slots), small requests first, with hysteresis, and never into a failure domain that is as full. Without a price, servers are chosen as before. Gauges cross_domain_requests and cross_domain_kib count by service and reason.

--- a/include/ragwortrelay/detail/scheduling/servers.h
+++ b/include/ragwortrelay/detail/scheduling/servers.h
@@ -14,4 +14,10 @@
 /// Returns the slowness of a server relative to its service; 1 is usual. Decays towards 1 with the age of the last observation.
 double slownessOf(const ServerState &state, const ServerSelectionSettings &settings, TimePoint now);
 
+/// Tells whether a price decides about requests of a host to other failure domains.
+bool hasSpilloverPrice(const ServerSelectionSettings &settings, const Requester &requester);
+
+/// Returns the size of a request in KiB, with a typical header.
+double kibOf(const PlacementRequest &placement);
+
 }
--- a/include/ragwortrelay/detail/settings/sections.h
+++ b/include/ragwortrelay/detail/settings/sections.h
@@ -20,6 +20,7 @@
 RetrySettings readRetries(YamlReader reader);
 HealthSettings readHealth(YamlReader reader);
 WarmupSettings readWarmup(YamlReader reader);
+BalancingSettings readBalancing(YamlReader reader);
 QueueSettings readQueue(YamlReader reader);
 StopSettings readStop(YamlReader reader);
 LogSettings readLog(YamlReader reader);
--- a/include/ragwortrelay/host/event.h
+++ b/include/ragwortrelay/host/event.h
@@ -34,6 +34,7 @@
     std::string m_bodySha; ///< SHA-256 of the body in hexadecimal digits; set only for requests with an idempotency key.
     std::string m_target; ///< Path and query.
     Duration m_waitedFor{}; ///< Time for which it waited behind earlier requests of its connection.
+    std::uint64_t m_bodyBytes = 0; ///< Size of the body.
 
     friend bool operator==(const RequestArrived &, const RequestArrived &) = default;
 };
--- a/include/ragwortrelay/scheduling/placementrequest.h
+++ b/include/ragwortrelay/scheduling/placementrequest.h
@@ -44,6 +44,7 @@
     Duration m_timeLeft{}; ///< Time until the deadline of the request.
     Duration m_objectiveLeft{}; ///< Time until the latency objective is missed; negative after that.
     std::vector<ServerId> m_excluded; ///< Servers that earlier attempts of the request have tried.
+    std::uint64_t m_bodyBytes = 0; ///< Size of the request's body.
 
     friend bool operator==(const PlacementRequest &, const PlacementRequest &) = default;
 
@@ -59,7 +60,8 @@
                         self.m_idempotent,
                         self.m_timeLeft,
                         self.m_objectiveLeft,
-                        self.m_excluded);
+                        self.m_excluded,
+                        self.m_bodyBytes);
     }
 };
 
--- a/include/ragwortrelay/scheduling/serverregistry.h
+++ b/include/ragwortrelay/scheduling/serverregistry.h
@@ -7,6 +7,7 @@
 #include <ragwortrelay/health/suspicion.h>
 #include <ragwortrelay/scheduling/placementrequest.h>
 #include <ragwortrelay/scheduling/warmuplimit.h>
+#include <ragwortrelay/scheduling/spillover.h>
 
 #include <tl/expected.hpp>
 
@@ -23,10 +24,11 @@
 /// Settings of server selection. Costs are relative to the value of one request.
 struct ServerSelectionSettings {
     Health::SuspicionSettings m_suspicion;
+    SpilloverSettings m_spillover;
     double m_failureCost = 1.0; ///< Cost of a request that fails permanently.
     double m_retryCost = 0.25; ///< Cost of a request that fails and can be retried.
     double m_utilizationCost = 0.04; ///< Cost of a server that runs as many requests as it has slots; proportional below that.
-    double m_crossDomainCost = 0.02; ///< Cost of a server outside the requester's failure domain.
+    double m_crossDomainCost = 0.02; ///< Cost of a server outside the requester's failure domain; without effect while a price is set in m_spillover.
     double m_connectionCost = 0.03; ///< Cost of opening a connection to the server.
     Duration m_maxConnectionIdleTime{std::chrono::seconds(4)}; ///< Idle time up to which a connection is likely to be open still.
     Duration m_maxConnectionIdleTimeNonIdempotent{std::chrono::milliseconds(900)}; ///< Idle time up to which a non-idempotent request relies on a connection.
@@ -42,6 +44,8 @@
     double m_trustedThreshold = 0.05; ///< Probability of being unhealthy below which a server is trusted.
     Duration m_idempotentTrialInterval{std::chrono::milliseconds(1400)}; ///< Time without a request or failure after which idempotent ones try a server.
     Duration m_unusedAfter{std::chrono::milliseconds(1600)}; ///< Time without a request after which a server counts as unused.
+    Duration m_unusedInOtherDomainAfter{
+        std::chrono::milliseconds(200)}; ///< Further time after which a request of another failure domain uses the server, if a price is set.
     Duration m_recentFailurePeriod{std::chrono::milliseconds(1900)}; ///< Time after a failed request in which a server isn't expected to be used.
     Duration m_recentFailurePeriodUnhealthy{std::chrono::milliseconds(3500)}; ///< Longer period for unhealthy servers of a service that isn't failing.
     Duration m_outcomeDecayTime{std::chrono::milliseconds(2000)}; ///< Time in which outcomes of requests lose all but 1/e of their weight in the failure share.
@@ -104,6 +108,14 @@
     friend bool operator==(const IdleConnection &, const IdleConnection &) = default;
 };
 
+/// Requests that were sent to another failure domain for one reason.
+struct SpilloverCount {
+    std::uint64_t m_requests = 0;
+    double m_kib = 0.0;
+
+    friend bool operator==(const SpilloverCount &, const SpilloverCount &) = default;
+};
+
 /// State of one service and its servers.
 struct ServiceState {
     std::vector<ServerId> m_servers; ///< Servers of the service, sorted by id.
@@ -112,6 +124,9 @@
     double m_outcomes = 0.0; ///< Decayed number of requests that were served or failed.
     double m_failures = 0.0; ///< Decayed number of requests that failed.
     TimePoint m_outcomesUpdatedAt{}; ///< Last update of m_outcomes and m_failures.
+    std::map<FailureDomainId, DomainDemand> m_demands; ///< Demand of each failure domain; empty while no price is set.
+    TimePoint m_capacityCheckedAt{}; ///< Last update of the capacities in m_demands.
+    std::map<SpilloverReason, SpilloverCount> m_spillovers; ///< Requests sent to other failure domains while a price was set.
     std::map<HostId, std::vector<IdleConnection>> m_idleConnections; ///< Latest idle connections of each host, oldest first.
 };
 
@@ -195,6 +210,21 @@
                                                       RandomGenerator &random,
                                                       TimePoint now);
 
+/// Records the arrival of a request in the demand of its host's failure domain, if a price is set. Linear in the servers of the service, at most
+/// once per SpilloverSettings::m_capacityCheckInterval.
+void recordArrival(
+    ServerRegistry &registry, const ServerSelectionSettings &settings, const PlacementRequest &placement, const Requester &requester, TimePoint now);
+
+/// Counts a granted placement whose server is in another failure domain than the requester, if a price is set. To be called before startAttempt(),
+/// and only by the scheduler that selected the server, so that no request is counted on two hosts. Linear in the servers of the service.
+/// Precondition: the server is registered.
+void recordSpillover(ServerRegistry &registry,
+                     const ServerSelectionSettings &settings,
+                     const PlacementRequest &placement,
+                     const ServerId &server,
+                     const Requester &requester,
+                     TimePoint now);
+
 /// Records that the attempt of a placement starts on a server. Precondition: the server is registered.
 void startAttempt(ServerRegistry &registry,
                   const ServerSelectionSettings &settings,
--- a/include/ragwortrelay/settings/settings.h
+++ b/include/ragwortrelay/settings/settings.h
@@ -130,6 +130,14 @@
     friend bool operator==(const WarmupSettings &, const WarmupSettings &) = default;
 };
 
+/// Choice between backend servers of the host's own failure domain and of others.
+struct BalancingSettings {
+    double m_crossDomainPricePerKib = 0.0; ///< Price of a KiB between failure domains, relative to the value of one request; 0 for none.
+    double m_crossDomainPricePerMs = 0.0; ///< Price of a millisecond of latency between failure domains; 0 for none.
+
+    friend bool operator==(const BalancingSettings &, const BalancingSettings &) = default;
+};
+
 /// Queue of requests that wait for a free slot.
 struct QueueSettings {
     std::uint64_t m_perService = 512; ///< Maximum number of queued requests for one service, over all hosts.
@@ -168,6 +176,7 @@
     RetrySettings m_retries;
     HealthSettings m_health;
     std::optional<WarmupSettings> m_warmup; ///< Empty if cold servers have no limit.
+    BalancingSettings m_balancing;
     QueueSettings m_queue;
     StopSettings m_stop;
     LogSettings m_log;
--- a/src/cli/servecommand.cpp
+++ b/src/cli/servecommand.cpp
@@ -46,6 +46,8 @@
     if (settings.m_warmup) {
         host.m_scheduling.m_selection.m_warmupBounds = Scheduling::WarmupBounds{settings.m_warmup->m_overage, settings.m_warmup->m_slack};
     }
+    host.m_scheduling.m_selection.m_spillover.m_pricePerKib = settings.m_balancing.m_crossDomainPricePerKib;
+    host.m_scheduling.m_selection.m_spillover.m_pricePerMs = settings.m_balancing.m_crossDomainPricePerMs;
     host.m_scheduling.m_maxQueueLength = settings.m_queue.m_perService;
     host.m_editLimit = settings.m_configuration.m_editLimit;
     host.m_storesServiceLevels = settings.m_reports.m_storesRecords;
--- a/src/host/metrics.cpp
+++ b/src/host/metrics.cpp
@@ -28,6 +28,18 @@
     }
 }
 
+/// Adds the requests that this host's scheduler has sent to other failure domains.
+void addSpillovers(Reporting::Gauges &gauges, const State &state)
+{
+    for (const auto &[id, service] : state.m_scheduler.m_registry.m_services) {
+        for (const auto &[reason, count] : service.m_spillovers) {
+            const std::string labels = "{service=\"" + id.text() + "\",reason=\"" + Scheduling::toString(reason) + "\"}";
+            gauges["cross_domain_requests" + labels] = static_cast<double>(count.m_requests);
+            gauges["cross_domain_kib" + labels] = count.m_kib;
+        }
+    }
+}
+
 /// Returns the number of placements in the queues of all services.
 std::size_t waitingPlacements(const Scheduling::Scheduler &scheduler)
 {
@@ -61,6 +73,7 @@
     gauges["servers_paused"] =
         static_cast<double>(std::ranges::count_if(state.m_pauses.m_pauses, [&](const auto &entry) { return now < entry.second.m_until; }));
     addServers(gauges, state, now);
+    addSpillovers(gauges, state);
     return gauges;
 }
 
--- a/src/host/placements.cpp
+++ b/src/host/placements.cpp
@@ -30,6 +30,7 @@
     placement.m_timeLeft = exchange.m_deadline - now;
     placement.m_objectiveLeft = exchange.m_arrivedAt + exchange.m_route.m_latencyObjective - now;
     placement.m_excluded = exchange.m_tried;
+    placement.m_bodyBytes = exchange.m_request.m_bodyBytes;
     constexpr std::size_t MaxExcludedPauses = 64; // Keeps the message within one datagram.
     const auto paused = Scheduling::excludedByPauses(state.m_pauses, state.m_scheduler.m_registry, exchange.m_service, now);
     const std::size_t count = std::min(paused.size(), MaxExcludedPauses);
--- a/src/loop/callerconnection.cpp
+++ b/src/loop/callerconnection.cpp
@@ -143,8 +143,8 @@
     m_listener.m_exchanges.emplace(m_exchange, this);
     const std::string sha = metadata->m_idempotencyKey.empty() ? std::string() : sha256(*m_request.m_body);
     const Duration waitedFor = currentTime() - m_input.consumedReceivedAt();
-    m_listener.m_handler(
-        Host::RequestArrived{m_exchange, m_request.m_head.m_method, *metadata, hashOf(*m_request.m_body), sha, m_request.m_head.m_target, waitedFor});
+    m_listener.m_handler(Host::RequestArrived{
+        m_exchange, m_request.m_head.m_method, *metadata, hashOf(*m_request.m_body), sha, m_request.m_head.m_target, waitedFor, m_request.m_body->size()});
 }
 
 void CallerConnection::rejectUnreadRequest(const Http::RequestReadError &refusal)
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -1,4 +1,5 @@
 #include <ragwortrelay/detail/scheduling/placement.h>
+#include <ragwortrelay/detail/scheduling/servers.h>
 
 #include <algorithm>
 
@@ -66,6 +67,7 @@
 
 PlacementReply grant(Scheduler &scheduler, const PlacementRequest &placement, const ServerId &server, const Requester &requester, TimePoint now)
 {
+    recordSpillover(scheduler.m_registry, scheduler.m_settings.m_selection, placement, server, requester, now);
     startAttempt(scheduler.m_registry, scheduler.m_settings.m_selection, placement, server, requester, now);
     scheduler.m_granted[{requester.m_host, placement.m_number}] = {server, placement.m_service, now, placement.m_fingerprint};
     return {placement.m_number, server, {}, {}, {}};
@@ -108,8 +110,15 @@
     if (auto refused = takeFromRetryBudget(scheduler, placement, now)) {
         return refused;
     }
+    if (placement.m_purpose == AttemptKind::First) {
+        recordArrival(scheduler.m_registry, scheduler.m_settings.m_selection, placement, requester, now);
+    }
     const PlacementQueue &queue = scheduler.m_queues[placement.m_service];
-    const bool hasPredecessors = !queue.m_placements.empty() && queue.m_placements.front().m_placement.m_priority <= placement.m_priority;
+    const bool hasPrice = hasSpilloverPrice(scheduler.m_settings.m_selection, requester);
+    const bool hasPredecessors = std::ranges::any_of(queue.m_placements, [&](const QueuedPlacement &other) {
+        const bool competes = !hasPrice || other.m_requester.m_domain == requester.m_domain; // Others may wait for servers of their own failure domain.
+        return competes && other.m_placement.m_priority <= placement.m_priority;
+    });
     if (!hasPredecessors && !awaitsReports(scheduler, placement, now)) {
         const auto server = selectServer(scheduler.m_registry, scheduler.m_settings.m_selection, placement, requester, random, now);
         if (server) {
--- a/src/scheduling/queueing.cpp
+++ b/src/scheduling/queueing.cpp
@@ -104,6 +104,8 @@
     Scheduler &scheduler, const ServiceId &service, PlacementQueue &queue, RandomGenerator &random, TimePoint now, std::vector<AddressedReply> &responses)
 {
     constexpr std::size_t MaxBlocked = 8; // Bounds the placements tried in one round that find no server.
+    constexpr std::size_t MaxBlockedWithPrice = 64; // Placements may wait for servers of their own failure domain, while those of others are free.
+    const std::size_t maxBlocked = isEnabled(scheduler.m_settings.m_selection.m_spillover) ? MaxBlockedWithPrice : MaxBlocked;
     if (isServiceEvacuated(scheduler.m_registry, service, now)) {
         for (const QueuedPlacement &entry : std::exchange(queue.m_placements, {})) {
             responses.push_back({entry.m_requester.m_host, refuseEvacuated(entry.m_placement)});
@@ -116,7 +118,7 @@
     }
     const Duration usual = usualTimeOf(scheduler, service);
     std::set<PlacementId> blocked;
-    while (blocked.size() < MaxBlocked) {
+    while (blocked.size() < maxBlocked) {
         const auto entry = nextPlacement(queue, blocked, usual, now);
         if (entry == queue.m_placements.end()) {
             return;
@@ -130,7 +132,9 @@
             blocked.insert(idOf(*entry));
             continue;
         }
-        const auto server = selectServer(scheduler.m_registry, scheduler.m_settings.m_selection, entry->m_placement, entry->m_requester, random, now);
+        PlacementRequest placement = entry->m_placement;
+        placement.m_objectiveLeft = entry->m_objectiveDeadline - now;
+        const auto server = selectServer(scheduler.m_registry, scheduler.m_settings.m_selection, placement, entry->m_requester, random, now);
         if (server) {
             responses.push_back({entry->m_requester.m_host, grant(scheduler, entry->m_placement, *server, entry->m_requester, now)});
             advanceVirtualTime(queue, *entry);
--- a/src/scheduling/selection.cpp
+++ b/src/scheduling/selection.cpp
@@ -9,7 +9,9 @@
 namespace {
 
 using detail::hasFreeSlot;
+using detail::hasSpilloverPrice;
 using detail::isUsable;
+using detail::kibOf;
 using detail::slownessOf;
 
 /// Tells whether so many requests of a service fail that no healthy server may be left unused.
@@ -100,7 +102,8 @@
     const double utilization = static_cast<double>(state.m_running.size()) / static_cast<double>(state.m_server.m_slots);
     double cost = candidate.m_unhealthyProbability * (placement.m_idempotent ? settings.m_retryCost : settings.m_failureCost);
     cost += utilization * settings.m_utilizationCost / state.m_server.m_weight;
-    cost += state.m_server.m_domain == requester.m_domain ? 0.0 : settings.m_crossDomainCost;
+    const double crossDomainCost = hasSpilloverPrice(settings, requester) ? spilloverPrice(settings.m_spillover, kibOf(placement)) : settings.m_crossDomainCost;
+    cost += state.m_server.m_domain == requester.m_domain ? 0.0 : crossDomainCost;
     cost += candidate.m_isConnected ? 0.0 : settings.m_connectionCost;
     cost += isCold(state, now) ? settings.m_warmupCost : 0.0;
     cost += std::max(0.0, slownessOf(state, settings, now) - 1.0) * settings.m_slownessCost;
@@ -114,7 +117,7 @@
 }
 
 /// Returns the usable servers to select from: all of a small service; of a large one, a run of the list from a random start, plus the servers
-/// to which the host is connected.
+/// to which the host is connected. With a price, some free servers of the host's own failure domain are added; that is linear in the servers.
 std::vector<Candidate> candidatesOf(const ServerRegistry &registry,
                                     const ServerSelectionSettings &settings,
                                     const ServiceState &service,
@@ -148,6 +151,16 @@
         ++sampled;
         add(id, std::erase(connected, id) > 0);
     }
+    constexpr std::size_t MinOwnCandidates = 16; // With a price, others are no substitute for servers of the failure domain that the sample has missed.
+    std::size_t own = hasSpilloverPrice(settings, requester) ? 0 : MinOwnCandidates;
+    for (std::size_t i = settings.m_maxCandidates; i < count && own < MinOwnCandidates; ++i) {
+        const auto found = registry.m_servers.find(service.m_servers[(start + i) % count]);
+        const bool isOwn = found != registry.m_servers.end() && found->second.m_server.m_domain == requester.m_domain;
+        if (isOwn && (own == 0 || hasFreeSlot(found->second, now))) { // One without a free slot shows that there are own servers.
+            add(found->first, std::erase(connected, found->first) > 0);
+            ++own;
+        }
+    }
     std::ranges::sort(connected);
     connected.erase(std::unique(connected.begin(), connected.end()), connected.end());
     for (const ServerId &id : connected) {
@@ -176,18 +189,21 @@
     return avoided;
 }
 
-const Candidate *cheapest(const ServerSelectionSettings &settings,
-                          const std::vector<Candidate> &candidates,
-                          const PlacementRequest &placement,
-                          const Requester &requester,
-                          RandomGenerator &random,
-                          TimePoint now)
+/// Returns the candidate of the lowest cost among those with a free slot that satisfy a predicate; null if there is none.
+template<typename Predicate>
+const Candidate *cheapestOf(const ServerSelectionSettings &settings,
+                            const std::vector<Candidate> &candidates,
+                            const PlacementRequest &placement,
+                            const Requester &requester,
+                            RandomGenerator &random,
+                            TimePoint now,
+                            Predicate isAllowed)
 {
     constexpr double TieBreakCost = 0.002; // Chooses randomly among servers of about the same cost.
     const Candidate *best = nullptr;
     double minCost = std::numeric_limits<double>::max();
     for (const Candidate &candidate : candidates) {
-        if (contains(placement.m_excluded, candidate.m_state->m_server.m_id) || !candidate.m_canStart) {
+        if (contains(placement.m_excluded, candidate.m_state->m_server.m_id) || !candidate.m_canStart || !isAllowed(candidate)) {
             continue;
         }
         const double cost = costOf(settings, candidate, placement, requester, now) + TieBreakCost * randomUnit(random);
@@ -199,11 +215,91 @@
     return best;
 }
 
+const Candidate *cheapest(const ServerSelectionSettings &settings,
+                          const std::vector<Candidate> &candidates,
+                          const PlacementRequest &placement,
+                          const Requester &requester,
+                          RandomGenerator &random,
+                          TimePoint now)
+{
+    return cheapestOf(settings, candidates, placement, requester, random, now, [](const Candidate &) { return true; });
+}
+
+/// Returns the demand of a failure domain; none if nothing is known.
+DomainDemand demandOf(const ServiceState &service, const FailureDomainId &domain)
+{
+    const auto found = service.m_demands.find(domain);
+    return found == service.m_demands.end() ? DomainDemand() : found->second;
+}
+
+/// Returns the cheapest server with a free slot. If a price is set, a server of another failure domain is selected only while the own ones look
+/// unhealthy, are full or are expected to be, and while waiting for one would cost more than the price. Null if the request has to wait.
+const Candidate *cheapestByDomain(const ServerSelectionSettings &settings,
+                                  const ServiceState &service,
+                                  const std::vector<Candidate> &candidates,
+                                  const PlacementRequest &placement,
+                                  const Requester &requester,
+                                  RandomGenerator &random,
+                                  TimePoint now)
+{
+    if (!hasSpilloverPrice(settings, requester)) {
+        return cheapest(settings, candidates, placement, requester, random, now);
+    }
+    const SpilloverSettings &spillover = settings.m_spillover;
+    const DomainDemand demand = demandOf(service, requester.m_domain);
+    const auto isHealthy = [&](const Candidate &candidate) { return candidate.m_unhealthyProbability <= settings.m_avoidAbove; };
+    const auto isOwn = [&](const Candidate &candidate) { return candidate.m_state->m_server.m_domain == requester.m_domain; };
+    const bool hasHealthyOwn = std::ranges::any_of(candidates, [&](const Candidate &candidate) {
+        return isOwn(candidate) && isHealthy(candidate) && !contains(placement.m_excluded, candidate.m_state->m_server.m_id);
+    });
+    if (!hasHealthyOwn) {
+        return cheapest(settings, candidates, placement, requester, random, now);
+    }
+    const double kib = kibOf(placement);
+    const auto cheapestOther = [&] {
+        std::vector<FailureDomainId> receiving;
+        for (const auto &[domain, target] : service.m_demands) {
+            if (domain != requester.m_domain && mayReceive(target, demand, spillover, now)) {
+                receiving.push_back(domain);
+            }
+        }
+        return cheapestOf(settings, candidates, placement, requester, random, now, [&](const Candidate &candidate) {
+            return isHealthy(candidate) && std::ranges::find(receiving, candidate.m_state->m_server.m_domain) != receiving.end();
+        });
+    };
+    if (shouldLeave(demand, spillover, kib)) {
+        if (const Candidate *other = cheapestOther()) {
+            return other;
+        }
+    }
+    const Candidate *best = cheapestOf(settings, candidates, placement, requester, random, now, isOwn);
+    if (best != nullptr && isHealthy(*best)) {
+        return best;
+    }
+    const Candidate *other = cheapestOther();
+    if (other == nullptr) {
+        return best;
+    }
+    if (best != nullptr) {
+        const bool isCheaper = costOf(settings, *other, placement, requester, now) < costOf(settings, *best, placement, requester, now);
+        return isCheaper ? other : best;
+    }
+    const double benefit = waitingCost(expectedWait(demand, spillover, now), placement.m_objectiveLeft - service.m_usualTime);
+    return spilloverPrice(spillover, kib) <= benefit ? other : nullptr;
+}
+
 /// Returns an avoided server that is due for a trial request, which shows whether it has recovered; null if there is none.
-const Candidate *
-selectForTrial(const ServerSelectionSettings &settings, const std::vector<Candidate> &avoided, const PlacementRequest &placement, TimePoint now)
+const Candidate *selectForTrial(const ServerSelectionSettings &settings,
+                                const std::vector<Candidate> &avoided,
+                                const PlacementRequest &placement,
+                                const Requester &requester,
+                                TimePoint now)
 {
+    const bool hasPrice = hasSpilloverPrice(settings, requester);
     for (const Candidate &candidate : avoided) {
+        if (hasPrice && candidate.m_state->m_server.m_domain != requester.m_domain) {
+            continue;
+        }
         const ServerState &state = *candidate.m_state;
         const bool isDue = state.m_running.empty() && candidate.m_canStart && now - state.m_lastTrialAt >= settings.m_trialInterval;
         if (isDue && placement.m_idempotent && placement.m_purpose == AttemptKind::First && !contains(placement.m_excluded, state.m_server.m_id)) {
@@ -229,10 +325,18 @@
 }
 
 /// Tells whether a server is due for a request that can be sent again. It is due earlier than for others, which then find it used or failed.
-bool isDueForTrial(const ServerSelectionSettings &settings, const ServerState &state, TimePoint now)
+/// @param unusedFor time without a request
+bool isDueForTrial(const ServerSelectionSettings &settings, const ServerState &state, Duration unusedFor, TimePoint now)
 {
     const bool hasFailedRecently = state.m_lastFailureAt && now - *state.m_lastFailureAt < settings.m_idempotentTrialInterval;
-    return now - state.m_lastUsedAt >= settings.m_idempotentTrialInterval && !hasFailedRecently;
+    return unusedFor >= settings.m_idempotentTrialInterval && !hasFailedRecently;
+}
+
+/// Returns how long a server has been without a request. With a price, requests of its own failure domain are given time to use it first.
+Duration unusedFor(const ServerSelectionSettings &settings, const ServerState &state, const Requester &requester, TimePoint now)
+{
+    const bool isOwn = !hasSpilloverPrice(settings, requester) || state.m_server.m_domain == requester.m_domain;
+    return now - state.m_lastUsedAt - (isOwn ? Duration(0) : settings.m_unusedInOtherDomainAfter);
 }
 
 /// Servers without recent requests, and the best of them.
@@ -259,8 +363,12 @@
 /// A failing service uses each of its servers, and so do requests that can be sent again. A limit on the share of unused servers doesn't
 /// suffice, since unhealthy ones count in it: with few healthy servers, most of them could be among the unused ones. While the service isn't
 /// failing, a request that a failure loses goes to an untrusted server only if too many of all or of the healthy ones are unused.
-const Candidate *selectUnused(
-    const ServerSelectionSettings &settings, const std::vector<Candidate> &all, const ServiceState &service, const PlacementRequest &placement, TimePoint now)
+const Candidate *selectUnused(const ServerSelectionSettings &settings,
+                              const std::vector<Candidate> &all,
+                              const ServiceState &service,
+                              const PlacementRequest &placement,
+                              const Requester &requester,
+                              TimePoint now)
 {
     const bool failing = isFailing(service, settings);
     if (!failing && !isBusy(service, settings, all.size())) {
@@ -272,10 +380,11 @@
     double healthy = 0.0;
     for (const Candidate &candidate : all) {
         const bool isExempt = isExemptFromUse(settings, candidate, failing, now);
-        const bool isUnused = !isExempt && now - candidate.m_state->m_lastUsedAt >= settings.m_unusedAfter;
+        const Duration unusedTime = unusedFor(settings, *candidate.m_state, requester, now);
+        const bool isUnused = !isExempt && unusedTime >= settings.m_unusedAfter;
         expected += isExempt ? 0.0 : 1.0;
         healthy += 1.0 - candidate.m_unhealthyProbability;
-        if (isTrial ? isDueForTrial(settings, *candidate.m_state, now) : isUnused) {
+        if (isTrial ? isDueForTrial(settings, *candidate.m_state, unusedTime, now) : isUnused) {
             addUnused(unused, candidate, placement);
         }
     }
@@ -300,12 +409,12 @@
     }
     std::vector<Candidate> candidates = candidatesOf(registry, settings, service->second, placement, requester, random, now);
     const std::size_t usable = candidates.size();
-    if (const Candidate *unused = selectUnused(settings, candidates, service->second, placement, now)) {
+    if (const Candidate *unused = selectUnused(settings, candidates, service->second, placement, requester, now)) {
         return unused->m_state->m_server.m_id;
     }
     const std::vector<Candidate> avoided = extractAvoided(settings, service->second.m_policy, candidates, now);
-    const Candidate *trial = selectForTrial(settings, avoided, placement, now);
-    const Candidate *best = trial != nullptr ? trial : cheapest(settings, candidates, placement, requester, random, now);
+    const Candidate *trial = selectForTrial(settings, avoided, placement, requester, now);
+    const Candidate *best = trial != nullptr ? trial : cheapestByDomain(settings, service->second, candidates, placement, requester, random, now);
     if (best != nullptr) {
         return best->m_state->m_server.m_id;
     }
--- a/src/scheduling/serverregistry.cpp
+++ b/src/scheduling/serverregistry.cpp
@@ -162,6 +162,31 @@
     }
 }
 
+/// Tells whether a server is usable and doesn't look unhealthy to a host.
+bool isHealthy(const ServerState &state, const ServerSelectionSettings &settings, const Requester &requester, TimePoint now)
+{
+    const double unhealthyProbability = Health::unhealthyProbability(settings.m_suspicion, state.m_suspicion, requester.m_host, requester.m_domain, now);
+    return detail::isUsable(state, now) && unhealthyProbability <= settings.m_avoidAbove;
+}
+
+/// Updates the capacity of each failure domain from its usable servers, weighted by the probability that they are healthy.
+void updateCapacities(const ServerRegistry &registry, ServiceState &service, const ServerSelectionSettings &settings, TimePoint now)
+{
+    service.m_capacityCheckedAt = now;
+    for (auto &[domain, demand] : service.m_demands) {
+        demand.m_capacity = 0.0;
+    }
+    const double usual = std::max(0.001, std::chrono::duration<double>(service.m_usualTime).count());
+    for (const ServerId &id : service.m_servers) {
+        const ServerState &state = registry.m_servers.at(id);
+        if (detail::isUsable(state, now)) {
+            const FailureDomainId &domain = state.m_server.m_domain;
+            const double healthy = 1.0 - Health::unhealthyProbability(settings.m_suspicion, state.m_suspicion, {}, domain, now);
+            service.m_demands[domain].m_capacity += healthy * static_cast<double>(state.m_server.m_slots) / usual;
+        }
+    }
+}
+
 void recordOutcome(ServiceState &service, const ServerSelectionSettings &settings, bool failed, TimePoint now)
 {
     const double decay = decayFactor(now - service.m_outcomesUpdatedAt, settings.m_outcomeDecayTime);
@@ -192,6 +217,22 @@
 
 }
 
+namespace detail {
+
+bool hasSpilloverPrice(const ServerSelectionSettings &settings, const Requester &requester)
+{
+    return isEnabled(settings.m_spillover) && !requester.m_domain.isEmpty();
+}
+
+double kibOf(const PlacementRequest &placement)
+{
+    constexpr double BytesPerKib = 1024.0;
+    constexpr double HeaderBytes = 512.0; // Typical size of a request without a body.
+    return (HeaderBytes + static_cast<double>(placement.m_bodyBytes)) / BytesPerKib;
+}
+
+}
+
 bool isDraining(const ServerState &state, TimePoint now)
 {
     const bool hasAnnouncedDraining = state.m_drainingUntil && now < *state.m_drainingUntil;
@@ -307,6 +348,54 @@
     std::erase_if(registry.m_leaving, [&](const auto &entry) { return !registry.m_servers.contains(entry.first) && now - entry.second.m_notedAt > Retention; });
 }
 
+void recordArrival(
+    ServerRegistry &registry, const ServerSelectionSettings &settings, const PlacementRequest &placement, const Requester &requester, TimePoint now)
+{
+    const auto found = registry.m_services.find(placement.m_service);
+    if (!detail::hasSpilloverPrice(settings, requester) || found == registry.m_services.end()) {
+        return;
+    }
+    ServiceState &service = found->second;
+    if (now - service.m_capacityCheckedAt >= settings.m_spillover.m_capacityCheckInterval) {
+        updateCapacities(registry, service, settings, now);
+    }
+    DomainDemand &demand = service.m_demands[requester.m_domain];
+    demand = afterArrival(demand, settings.m_spillover, detail::kibOf(placement), now);
+}
+
+void recordSpillover(ServerRegistry &registry,
+                     const ServerSelectionSettings &settings,
+                     const PlacementRequest &placement,
+                     const ServerId &server,
+                     const Requester &requester,
+                     TimePoint now)
+{
+    const ServerState &target = registry.m_servers.at(server);
+    if (!detail::hasSpilloverPrice(settings, requester) || target.m_server.m_domain == requester.m_domain) {
+        return;
+    }
+    ServiceState &service = registry.m_services[target.m_server.m_service];
+    const bool hasHealthyOwn = std::ranges::any_of(service.m_servers, [&](const ServerId &id) {
+        const ServerState &state = registry.m_servers.at(id);
+        const bool wasTried = std::ranges::find(placement.m_excluded, id) != placement.m_excluded.end();
+        return !wasTried && state.m_server.m_domain == requester.m_domain && isHealthy(state, settings, requester, now);
+    });
+    const double kib = detail::kibOf(placement);
+    SpilloverReason reason = SpilloverReason::PriceBelowBenefit;
+    if (!hasHealthyOwn) {
+        reason = SpilloverReason::OwnServersSick;
+    } else if (shouldLeave(service.m_demands[requester.m_domain], settings.m_spillover, kib)) {
+        reason = SpilloverReason::OwnServersFull;
+    } else if (now - target.m_lastUsedAt >= settings.m_idempotentTrialInterval) {
+        reason = SpilloverReason::UnusedServer;
+    }
+    SpilloverCount &count = service.m_spillovers[reason];
+    ++count.m_requests;
+    count.m_kib += kib;
+    DomainDemand &demand = service.m_demands[target.m_server.m_domain];
+    demand = afterReceipt(demand, settings.m_spillover, now);
+}
+
 void startAttempt(ServerRegistry &registry,
                   const ServerSelectionSettings &settings,
                   const PlacementRequest &placement,
--- a/src/settings/schedulingsections.cpp
+++ b/src/settings/schedulingsections.cpp
@@ -39,6 +39,16 @@
     return settings;
 }
 
+BalancingSettings readBalancing(YamlReader reader)
+{
+    constexpr double MaxPrice = 1000.0;
+    BalancingSettings settings;
+    settings.m_crossDomainPricePerKib = reader.number("cross-domain-price-per-kib", settings.m_crossDomainPricePerKib, 0.0, MaxPrice);
+    settings.m_crossDomainPricePerMs = reader.number("cross-domain-price-per-ms", settings.m_crossDomainPricePerMs, 0.0, MaxPrice);
+    reader.reportUnknownKeys();
+    return settings;
+}
+
 QueueSettings readQueue(YamlReader reader)
 {
     constexpr std::uint64_t MaxQueueLength = 100'000;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -32,6 +32,7 @@
     if (root.has("warmup")) {
         settings.m_warmup = detail::readWarmup(root.section("warmup", Presence::Optional));
     }
+    settings.m_balancing = detail::readBalancing(root.section("balancing", Presence::Optional));
     settings.m_queue = detail::readQueue(root.section("queue", Presence::Optional));
     settings.m_stop = detail::readStop(root.section("stop", Presence::Optional));
     settings.m_log = detail::readLog(root.section("log", Presence::Optional));
--- a/tests/scheduling/unusedservers.cpp
+++ b/tests/scheduling/unusedservers.cpp
@@ -28,6 +28,7 @@
     double m_cutShare = 0.0; ///< Share of the servers that some hosts can't reach.
     double m_noise = 0.01; ///< Share of the requests that fail at a healthy server.
     double m_refusedShare = 0.0; ///< Share of the requests refused over their limit, in every other phase of 3 s.
+    double m_pricePerKib = 0.0; ///< Price of requests to other failure domains; see SpilloverSettings.
     bool m_startsShedding = false; ///< Servers shed most requests in the first seconds.
     std::uint64_t m_seed = 1;
 };
@@ -100,6 +101,7 @@
                     recordRefusal(m_registry, m_settings, Desk, now);
                     m_outcomes.push_back({now, false});
                 } else {
+                    recordArrival(m_registry, m_settings, event.m_placement, event.m_requester, now);
                     startAt(event, now);
                 }
             } else {
@@ -267,6 +269,7 @@
     // servers, 7 got nothing for 2 s.
     Play play;
     play.m_failingShare = GENERATE(0.1, 0.3, 0.4);
+    play.m_pricePerKib = GENERATE(0.0, 0.0083);
     play.m_refusedShare = 0.15;
     play.m_startsShedding = true;
     const Result result = playAll(play, 8);
@@ -284,6 +287,7 @@
     play.m_idempotentShare = GENERATE(0.2, 0.7);
     play.m_hosts = 30;
     play.m_cutShare = 0.95;
+    play.m_pricePerKib = GENERATE(0.0, 0.0083);
     play.m_refusedShare = 0.15;
     const Result result = playAll(play, 6);
     CHECK(result.m_windows > 100);
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -58,6 +58,19 @@
         CHECK(refused.error().size() == 3);
     }
 
+    SECTION("the section balancing is read and validated, and sets no price by default")
+    {
+        CHECK(parseSettings(ValidSettings, "host.yaml")->m_balancing == BalancingSettings());
+        const auto settings = parseSettings(std::string(ValidSettings) + "balancing:\n  cross-domain-price-per-kib: 0.0083\n", "host.yaml");
+        REQUIRE(settings);
+        CHECK(settings->m_balancing.m_crossDomainPricePerKib == 0.0083);
+        CHECK(settings->m_balancing.m_crossDomainPricePerMs == 0.0);
+        const std::string bad = std::string(ValidSettings) + "balancing:\n  cross-domain-price-per-kib: -1\n  cross-domain-price-per-ms: x\n  price: 1\n";
+        const auto refused = parseSettings(bad, "host.yaml");
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().size() == 3);
+    }
+
     SECTION("all findings are reported together, each with its line and column")
     {
         const auto settings = parseSettings(R"(host:
