Account for the memory of callers' connections, and release the least active

Callers with stalled bodies, many short header fields or bodies over the limit took more memory than the smallest machine has, and slow senders all descriptors; ordinary callers were refused meanwhile.

Only the text of requests counted, per listener. CallerBudget now counts connections, input, bodies at their capacity, header fields at their size in memory, and unread responses, over all listeners. Connections are bounded by the process's descriptors; readiness and metrics take bodies up to 1 KiB and 64 connections, operators 128. Header fields are kept once; buffers don't grow beyond an announced length; large blocks return to the system when they are freed.

--- a/include/ragwortrelay/detail/http/growingbody.h
+++ b/include/ragwortrelay/detail/http/growingbody.h
@@ -5,8 +5,10 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/optional.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 
 namespace RagwortRelay::Http::detail {
@@ -25,8 +27,9 @@
         }
 
         /// Accepts a body of any announced length. No preconditions.
-        static void init(const boost::optional<std::uint64_t> & /*length*/, boost::beast::error_code &error)
+        void init(const boost::optional<std::uint64_t> &length, boost::beast::error_code &error)
         {
+            m_announced = length ? *length : std::numeric_limits<std::uint64_t>::max();
             error = {};
         }
 
@@ -36,6 +39,7 @@
             error = {};
             std::size_t size = 0;
             for (const boost::asio::const_buffer buffer : boost::beast::buffers_range_ref(buffers)) {
+                makeRoom(buffer.size());
                 m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
                 size += buffer.size();
             }
@@ -49,7 +53,21 @@
         }
 
     private:
+        /// Doubles the capacity when it is too small, but not beyond the announced length. std::string alone would take up to twice that.
+        void makeRoom(std::size_t size)
+        {
+            const std::size_t needed = m_body.size() + size;
+            if (needed <= m_body.capacity()) {
+                return;
+            }
+            value_type grown;
+            grown.reserve(std::max<std::size_t>(needed, std::min<std::uint64_t>(2 * m_body.capacity(), m_announced)));
+            grown.append(m_body);
+            m_body.swap(grown);
+        }
+
         value_type &m_body;
+        std::uint64_t m_announced = std::numeric_limits<std::uint64_t>::max(); ///< Length of the whole body as announced.
     };
 };
 
--- a/include/ragwortrelay/detail/loop/callerconnection.h
+++ b/include/ragwortrelay/detail/loop/callerconnection.h
@@ -72,7 +72,12 @@
     void startTimer(Duration timeout);
     void onTimeout();
     void startLingeringClose();
-    void releaseBufferedBytes();
+    /// Reports to the budget what the connection holds, and keeps the budget. The connection may be closed afterwards.
+    void updateHeld();
+    [[nodiscard]] std::uint64_t heldBytes() const;
+    /// Frees the memory of the connection for the budget: refuses a request that is being read, else closes the connection.
+    void release(ReleaseReason reason);
+    void markProgress();
     void removeExchange();
 
     static constexpr std::size_t ReadBufferSize = 4096; // bytes
@@ -89,7 +94,8 @@
     std::string m_output; ///< Bytes of the write in progress.
     std::string m_nextOutput; ///< Bytes of the next write.
     Phase m_phase = Phase::Idle;
-    std::uint64_t m_bufferedBytes = 0; ///< Bytes of the current request, as counted in the total of the listener.
+    CallerBudget::Id m_budgetId = 0;
+    std::uint64_t m_headBytes = 0; ///< Memory of the head of the request that awaits its response.
     bool m_isChunked = false;
     bool m_hasBody = true; ///< The response has a body.
     bool m_keepsAlive = true; ///< The connection stays open after the response.
--- a/include/ragwortrelay/detail/loop/callerinput.h
+++ b/include/ragwortrelay/detail/loop/callerinput.h
@@ -26,6 +26,9 @@
     void consume(std::size_t count)
     {
         m_bytes.erase(0, count);
+        if (m_bytes.empty()) {
+            m_bytes = {}; // An idle connection holds no buffer.
+        }
         while (count > 0) {
             Part &part = m_parts.front();
             m_consumedReceivedAt = part.m_receivedAt;
@@ -41,7 +44,7 @@
     /// Removes all bytes.
     void clear()
     {
-        m_bytes.clear();
+        m_bytes = {};
         m_parts.clear();
     }
 
@@ -51,6 +54,12 @@
         return m_bytes;
     }
 
+    /// Returns the memory that the bytes and their times take, in bytes.
+    [[nodiscard]] std::size_t memorySize() const
+    {
+        return m_bytes.capacity() + (m_parts.size() * sizeof(Part));
+    }
+
     /// Returns the time at which the last consumed byte was received.
     [[nodiscard]] TimePoint consumedReceivedAt() const
     {
--- a/include/ragwortrelay/http/message.h
+++ b/include/ragwortrelay/http/message.h
@@ -39,6 +39,9 @@
     friend bool operator==(const ResponseHead &, const ResponseHead &) = default;
 };
 
+/// Returns the memory that the head of a request takes, in bytes. It can be many times the size of its text.
+std::size_t memorySizeOf(const RequestHead &head);
+
 /// Returns whether two header names are equal, ignoring case. Thread-safe, like all functions here.
 bool sameName(std::string_view left, std::string_view right);
 
--- a/include/ragwortrelay/http/requestreader.h
+++ b/include/ragwortrelay/http/requestreader.h
@@ -15,6 +15,7 @@
 struct RequestLimits {
     std::uint64_t m_maxHeaderBytes = 16U << 10U; ///< Size of the request line and all headers in bytes.
     std::uint64_t m_maxBodyBytes = 1U << 20U; ///< Size of the body in bytes.
+    std::size_t m_maxHeaderFields = 4096; ///< Number of header fields.
 
     friend bool operator==(const RequestLimits &, const RequestLimits &) = default;
 };
@@ -66,6 +67,9 @@
     /// Returns whether the caller waits for an interim response before it sends the body. Precondition: the state is Body.
     [[nodiscard]] bool expectsContinue() const;
 
+    /// Returns the memory that the reader holds, in bytes. Complexity: constant.
+    [[nodiscard]] std::size_t memorySize() const;
+
     /// Returns whether the caller wants its connection kept alive. Precondition: the state is Body or Complete.
     [[nodiscard]] bool keepsConnection() const;
 
--- a/include/ragwortrelay/loop/callerlistener.h
+++ b/include/ragwortrelay/loop/callerlistener.h
@@ -6,6 +6,7 @@
 #include <ragwortrelay/http/headerscheme.h>
 #include <ragwortrelay/loop/asio.h>
 #include <ragwortrelay/loop/backendpool.h>
+#include <ragwortrelay/loop/callerbudget.h>
 #include <ragwortrelay/loop/responsestream.h>
 #include <ragwortrelay/loop/stream.h>
 
@@ -29,7 +30,9 @@
     Duration m_bodyTimeout{std::chrono::seconds(30)}; ///< Maximum time from the end of the request head to the end of the body.
     Duration m_responseTimeout{std::chrono::minutes(2)}; ///< Maximum time from the start of a response until all of it is written.
     std::size_t m_maxConnections = 2000; ///< Maximum number of open connections.
-    std::uint64_t m_maxBufferedBytes = 64U << 20U; ///< Maximum size of all buffered requests together, in bytes.
+    std::size_t m_maxHeaderFields = 4096; ///< Maximum number of header fields of a request.
+    std::shared_ptr<CallerBudget> m_budget; ///< Budget that several listeners share; null for a default one of this listener.
+    int m_kernelBufferBytes = 0; ///< Size of the receive and the send buffer that the kernel has for each connection; 0 for the kernel's choice.
     TcpTimeouts m_tcpTimeouts{5000, 5, 1, 3}; ///< TCP timeouts of each connection.
 };
 
@@ -81,6 +84,7 @@
     friend class CallerConnection;
 
     void accept();
+    void reserveLargestRequest();
     void addConnection(tcp::socket socket);
     void retryAccept();
 
@@ -93,7 +97,6 @@
     asio::steady_timer m_acceptTimer;
     std::map<CallerConnection *, std::shared_ptr<CallerConnection>> m_connections; ///< Owner of each connection until it is closed.
     std::unordered_map<Host::ExchangeId, CallerConnection *> m_exchanges; ///< Open connections whose request awaits its response.
-    std::uint64_t m_totalBufferedBytes = 0;
     Host::ExchangeId m_lastExchange = 0;
     std::size_t m_unfinishedResponses = 0;
     bool m_isDraining = false;
--- a/include/ragwortrelay/loop/operatorlistener.h
+++ b/include/ragwortrelay/loop/operatorlistener.h
@@ -14,6 +14,7 @@
 struct OperatorListenerSettings {
     std::string m_listen; ///< `IP:PORT`; port 0 lets the kernel choose; empty if there is no operator listener.
     std::string m_token; ///< Bearer token that each command must carry.
+    std::shared_ptr<CallerBudget> m_budget; ///< Budget that all listeners of the host share; null for one of its own.
 };
 
 /// Accepts the commands of operators over HTTP. Also serves the pages of StatusListener, which need no token. Not thread-safe.
--- a/include/ragwortrelay/loop/relay.h
+++ b/include/ragwortrelay/loop/relay.h
@@ -28,6 +28,7 @@
 struct RelaySettings {
     Host::HostSettings m_host;
     CallerListenerSettings m_callers;
+    CallerBudgetSettings m_callerBudget; ///< Budget of the callers', status and operators' listeners together.
     BackendSettings m_backends;
     StoreClientSettings m_store;
     StatusListenerSettings m_status;
--- a/include/ragwortrelay/loop/statuslistener.h
+++ b/include/ragwortrelay/loop/statuslistener.h
@@ -30,7 +30,8 @@
 {
 public:
     /// @param listen `IP:PORT`
-    StatusListener(asio::io_context &context, const std::string &listen, PageLookup pageLookup);
+    /// @param budget budget that all listeners of the host share
+    StatusListener(asio::io_context &context, const std::string &listen, const std::shared_ptr<CallerBudget> &budget, PageLookup pageLookup);
 
     /// Opens the port. Throws boost::system::system_error if the port can't be opened. Call once.
     void start();
--- a/include/ragwortrelay/settings/settings.h
+++ b/include/ragwortrelay/settings/settings.h
@@ -19,6 +19,7 @@
     HostId m_name;
     FailureDomainId m_domain;
     double m_capacity = 1.0; ///< Processor capacity relative to other hosts.
+    std::uint64_t m_memory = 0; ///< Memory of the machine, in bytes; 0 if it isn't known.
 
     friend bool operator==(const HostSettings &, const HostSettings &) = default;
 };
@@ -28,7 +29,9 @@
     std::string m_listen; ///< `IP:PORT`; port 0 lets the kernel choose.
     std::uint64_t m_bodyLimit = 1U << 20U; ///< Maximum size of a request body, in bytes.
     std::uint64_t m_headerLimit = 16U << 10U; ///< Maximum size of the request line and all headers, in bytes.
+    std::uint64_t m_headerFieldLimit = 4096; ///< Maximum number of header fields of a request.
     std::uint64_t m_connectionLimit = 4096; ///< Maximum number of open connections.
+    std::optional<std::uint64_t> m_memoryLimit; ///< Maximum memory held for all connections together, in bytes; empty for a default.
     Duration m_headerTimeout{std::chrono::seconds(10)}; ///< Time from the start of a connection to the end of its first header.
     Duration m_bodyTimeout{std::chrono::seconds(30)}; ///< Time from the end of the header to the end of the body.
     Duration m_idleTimeout{std::chrono::seconds(75)}; ///< Time from a response to the end of the header of the next request.
--- a/src/cli/servecommand.cpp
+++ b/src/cli/servecommand.cpp
@@ -8,6 +8,10 @@
 
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
+#include <malloc.h>
+#include <sys/resource.h>
+
 namespace RagwortRelay::Cli::detail {
 
 namespace {
@@ -54,6 +58,36 @@
     return host;
 }
 
+/// Size of the kernel's receive and send buffer of a caller's connection on a machine whose memory is bounded. At 1 ms, it still allows 32 MB/s.
+constexpr int KernelBufferBytes = 32 << 10;
+
+/// Returns the number of connections of callers for which the process has descriptors, up to the configured one.
+std::uint64_t connectionLimitFor(const Settings::Settings &settings)
+{
+    constexpr std::uint64_t OtherDescriptors = 256; // Listeners, log, store, and connections to backend servers that carry a request.
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+        return settings.m_callers.m_connectionLimit;
+    }
+    const std::uint64_t reserved = std::min<std::uint64_t>(settings.m_backends.m_idleConnections + OtherDescriptors, limit.rlim_cur / 2);
+    return std::min<std::uint64_t>(settings.m_callers.m_connectionLimit, limit.rlim_cur - reserved);
+}
+
+/// Returns the budget for callers: as set, or three tenths of the memory of the machine. The rest is for the process itself, the kernel's buffers and
+/// the gaps between allocations. A single large request may use all but what the process needs.
+Loop::CallerBudgetSettings callerBudgetFor(const Settings::Settings &settings)
+{
+    constexpr std::uint64_t ProcessBytes = 64ULL << 20U;
+    const std::uint64_t memory = settings.m_host.m_memory;
+    Loop::CallerBudgetSettings budget;
+    if (memory > 0) {
+        budget.m_limit = memory * 3 / 10;
+        budget.m_maxLimit = memory - std::min(memory / 2, ProcessBytes);
+    }
+    budget.m_limit = settings.m_callers.m_memoryLimit.value_or(budget.m_limit);
+    return budget;
+}
+
 Loop::RelaySettings relaySettingsFrom(const Settings::Settings &settings)
 {
     Loop::RelaySettings relay;
@@ -65,7 +99,10 @@
         settings.m_callers.m_headerLimit, settings.m_callers.m_bodyLimit, settings.m_callers.m_headerTimeout, settings.m_callers.m_idleTimeout};
     relay.m_callers.m_bodyTimeout = settings.m_callers.m_bodyTimeout;
     relay.m_callers.m_responseTimeout = settings.m_callers.m_responseTimeout;
-    relay.m_callers.m_maxConnections = settings.m_callers.m_connectionLimit;
+    relay.m_callers.m_maxHeaderFields = settings.m_callers.m_headerFieldLimit;
+    relay.m_callers.m_maxConnections = connectionLimitFor(settings);
+    relay.m_callers.m_kernelBufferBytes = settings.m_host.m_memory > 0 ? KernelBufferBytes : 0;
+    relay.m_callerBudget = callerBudgetFor(settings);
     relay.m_backends.m_authority = settings.m_backends.m_authority;
     relay.m_backends.m_maxIdleConnections = settings.m_backends.m_idleConnections;
     relay.m_backends.m_connectTimeout = settings.m_backends.m_connectTimeout;
@@ -73,7 +110,7 @@
     relay.m_store.m_connectTimeout = settings.m_store.m_connectTimeout;
     relay.m_store.m_timeout = settings.m_store.m_timeout;
     relay.m_status = {settings.m_readiness.m_listen, settings.m_readiness.m_path, settings.m_metrics.m_listen, settings.m_metrics.m_path};
-    relay.m_operators = {settings.m_operators.m_listen, settings.m_operators.m_token};
+    relay.m_operators = {settings.m_operators.m_listen, settings.m_operators.m_token, nullptr};
     return relay;
 }
 
@@ -112,6 +149,9 @@
         printFindings(settings.error());
         return ExitCode::WrongUsage;
     }
+    // With a fixed threshold, large bodies go back to the system when they are freed; glibc would raise it to the size of the largest one.
+    constexpr int MmapThreshold = 128 << 10; // bytes
+    ::mallopt(M_MMAP_THRESHOLD, MmapThreshold);
     Loop::LogWriter log(settings->m_host.m_name.text(), parseSeverity(settings->m_log.m_level));
     log.start();
     Loop::Relay relay(relaySettingsFrom(*settings), settingsFile(file.getValue()), adapterFor(settings->m_configuration.m_origin), log);
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -27,6 +27,17 @@
 
 }
 
+std::size_t memorySizeOf(const RequestHead &head)
+{
+    constexpr std::size_t InPlaceCapacity = 15; // libstdc++ keeps so many characters within the string.
+    const auto sizeOf = [](const std::string &text) { return text.capacity() > InPlaceCapacity ? text.capacity() : 0; };
+    std::size_t size = sizeof(RequestHead) + sizeOf(head.m_method) + sizeOf(head.m_target) + (head.m_headers.capacity() * sizeof(Header));
+    for (const Header &header : head.m_headers) {
+        size += sizeOf(header.m_name) + sizeOf(header.m_value);
+    }
+    return size;
+}
+
 bool sameName(std::string_view left, std::string_view right)
 {
     return boost::beast::iequals(toBeast(left), toBeast(right));
--- a/src/http/requestreader.cpp
+++ b/src/http/requestreader.cpp
@@ -3,6 +3,7 @@
 #include <ragwortrelay/http/requestreader.h>
 #include <ragwortrelay/http/status.h>
 
+#include <iterator>
 #include <ostream> // Boost.Beast 1.74 needs it and doesn't include it.
 #include <utility>
 
@@ -50,10 +51,18 @@
         m_head.m_method = std::string(message.method_string());
         m_head.m_target = std::string(message.target());
         m_head.m_minorVersion = message.version() % 10;
+        m_head.m_headers.reserve(static_cast<std::size_t>(std::distance(message.begin(), message.end())));
         for (const auto &field : message) {
             m_head.m_headers.push_back({std::string(field.name_string()), std::string(field.value())});
         }
         m_keepAlive = message.keep_alive();
+        m_parser.get().clear(); // The fields are held once only, in m_head.
+        m_headBytes = memorySizeOf(m_head);
+        if (m_head.m_headers.size() > m_limits.m_maxHeaderFields) {
+            return refuse({Status::HeaderFieldsTooLarge,
+                           ErrorId::RequestTooLarge,
+                           "the header has more than the " + std::to_string(m_limits.m_maxHeaderFields) + " fields that this host takes"});
+        }
         const auto refusal = detail::checkHead(m_head, m_limits);
         if (refusal) {
             return refuse(*refusal);
@@ -67,6 +76,7 @@
     ReadState m_state = ReadState::Head;
     RequestReadError m_refusal;
     bool m_keepAlive = true;
+    std::size_t m_headBytes = 0; ///< Memory of m_head.
 };
 
 RequestReader::RequestReader(const RequestLimits &limits) : m_implementation(std::make_unique<Implementation>(limits))
@@ -122,6 +132,11 @@
     return std::move(m_implementation->m_parser.get().body());
 }
 
+std::size_t RequestReader::memorySize() const
+{
+    return sizeof(Implementation) + m_implementation->m_headBytes + m_implementation->m_parser.get().body().capacity();
+}
+
 bool RequestReader::expectsContinue() const
 {
     return findHeader(m_implementation->m_head.m_headers, "Expect").has_value();
--- a/src/loop/callerconnection.cpp
+++ b/src/loop/callerconnection.cpp
@@ -27,11 +27,20 @@
 
 template<typename Task> void CallerConnection::guarded(Task &&task)
 {
-    detail::runGuarded(std::forward<Task>(task), [self = shared_from_this()] { self->close(); });
+    const auto self = shared_from_this();
+    detail::runGuarded(
+        [&] {
+            std::forward<Task>(task)();
+            updateHeld();
+        },
+        [&] { close(); });
 }
 
 void CallerConnection::start()
 {
+    ErrorCode ignored;
+    const std::string address = m_stream.socket().remote_endpoint(ignored).address().to_string();
+    m_budgetId = m_listener.m_settings.m_budget->add(&m_listener, address, currentTime(), [this](ReleaseReason reason) { release(reason); });
     guarded([this] { startReading(); });
 }
 
@@ -87,23 +96,21 @@
     if (m_phase == Phase::Idle) {
         m_phase = Phase::Reading;
         m_hasSentContinue = false;
-        m_reader.emplace(Http::RequestLimits{m_listener.m_settings.m_limits.m_maxHeaderBytes, m_listener.m_settings.m_limits.m_maxBodyBytes});
+        markProgress();
+        m_reader.emplace(Http::RequestLimits{
+            m_listener.m_settings.m_limits.m_maxHeaderBytes, m_listener.m_settings.m_limits.m_maxBodyBytes, m_listener.m_settings.m_maxHeaderFields});
         startTimer(m_listener.m_settings.m_limits.m_headerTimeout);
     }
     const ReadState previousState = m_reader->state();
     const std::size_t consumed = m_reader->put(m_input.bytes());
     m_input.consume(consumed);
-    m_bufferedBytes += consumed;
-    m_listener.m_totalBufferedBytes += consumed;
     if (m_reader->state() == ReadState::Refused) {
-        return rejectUnreadRequest(m_reader->refusal());
+        const Http::RequestReadError refusal = m_reader->refusal();
+        return rejectUnreadRequest(refusal);
     }
     if (m_input.bytes().size() > m_listener.m_settings.m_limits.m_maxHeaderBytes + ReadBufferSize && m_reader->state() != ReadState::Complete) {
         return rejectUnreadRequest({Http::Status::BadRequest, ErrorId::RequestMalformed, "the request has a chunk line or a trailer that is too long"});
     }
-    if (m_listener.m_totalBufferedBytes > m_listener.m_settings.m_maxBufferedBytes) {
-        return rejectUnreadRequest({Http::Status::ServiceUnavailable, ErrorId::RequestOverload, "the host holds too many bodies"});
-    }
     if (m_reader->state() == ReadState::Complete) {
         return dispatchRequest();
     }
@@ -136,8 +143,10 @@
     m_request.m_head = m_reader->head();
     m_request.m_metadata = *metadata;
     m_request.m_body = body;
+    m_headBytes = Http::memorySizeOf(m_request.m_head);
     m_reader.reset();
     m_phase = Phase::Waiting;
+    markProgress();
     m_isResponseComplete = false;
     m_exchange = ++m_listener.m_lastExchange;
     m_listener.m_exchanges.emplace(m_exchange, this);
@@ -151,6 +160,7 @@
 {
     m_keepsAlive = false;
     m_request = {};
+    m_reader.reset();
     const Dispatch::Problem problem{refusal.m_status, refusal.m_id, Dispatch::Outcome::NotRun, refusal.m_detail, {}};
     writeRefusal(problem);
     m_listener.m_handler(Host::RequestReadFailed{problem});
@@ -287,13 +297,14 @@
 void CallerConnection::onWritten(const ErrorCode &error)
 {
     m_isWriting = false;
-    m_output.clear();
+    m_output = {};
     if (m_isClosed) {
         return;
     }
     if (error) {
         return close();
     }
+    markProgress();
     if (!m_nextOutput.empty()) {
         return write(std::exchange(m_nextOutput, {}));
     }
@@ -305,7 +316,7 @@
     }
     --m_listener.m_unfinishedResponses;
     m_request = {};
-    releaseBufferedBytes();
+    m_headBytes = 0;
     if (!m_keepsAlive) {
         return startLingeringClose();
     }
@@ -343,7 +354,9 @@
     if (m_phase == Phase::Writing) {
         --m_listener.m_unfinishedResponses;
     }
-    releaseBufferedBytes();
+    m_listener.m_settings.m_budget->remove(m_budgetId);
+    m_reader.reset();
+    m_input.clear();
     const std::shared_ptr<ResponseStream> stream = std::move(m_response);
     if (stream) {
         stream->m_onDataAvailable = nullptr;
@@ -382,9 +395,41 @@
     close();
 }
 
-void CallerConnection::releaseBufferedBytes()
+void CallerConnection::updateHeld()
+{
+    if (m_isClosed) {
+        return;
+    }
+    CallerBudget &budget = *m_listener.m_settings.m_budget;
+    budget.setHeld(m_budgetId, heldBytes());
+    budget.enforce(currentTime());
+}
+
+std::uint64_t CallerConnection::heldBytes() const
+{
+    constexpr std::uint64_t OverheadBytes = 2048; // Socket, timer, queued operations and entries in maps.
+    std::uint64_t bytes = sizeof(CallerConnection) + OverheadBytes + m_input.memorySize() + m_headBytes;
+    bytes += m_output.capacity() + m_nextOutput.capacity();
+    bytes += m_reader ? m_reader->memorySize() : 0;
+    bytes += m_request.m_body ? m_request.m_body->capacity() : 0;
+    bytes += m_response ? m_response->m_pending.capacity() : 0;
+    return bytes;
+}
+
+void CallerConnection::markProgress()
+{
+    m_listener.m_settings.m_budget->setProgress(m_budgetId, currentTime());
+}
+
+void CallerConnection::release(ReleaseReason reason)
 {
-    m_listener.m_totalBufferedBytes -= std::exchange(m_bufferedBytes, 0);
+    if (m_phase != Phase::Reading || reason == ReleaseReason::Connections) {
+        return close();
+    }
+    guarded([this] {
+        m_input.clear();
+        rejectUnreadRequest({Http::Status::ServiceUnavailable, ErrorId::RequestOverload, "the host holds too much for its callers"});
+    });
 }
 
 void CallerConnection::removeExchange()
--- a/src/loop/callerlistener.cpp
+++ b/src/loop/callerlistener.cpp
@@ -1,11 +1,16 @@
 #include <ragwortrelay/detail/loop/callerconnection.h>
 #include <ragwortrelay/loop/callerlistener.h>
+#include <ragwortrelay/loop/clock.h>
 
 namespace RagwortRelay::Loop {
 
 CallerListener::CallerListener(asio::io_context &context, const CallerListenerSettings &settings, const Http::HeaderScheme &headerScheme, EventHandler handler)
     : m_context(context), m_settings(settings), m_headerScheme(headerScheme), m_handler(std::move(handler)), m_acceptor(context), m_acceptTimer(context)
 {
+    if (!m_settings.m_budget) {
+        m_settings.m_budget = std::make_shared<CallerBudget>(CallerBudgetSettings{});
+    }
+    reserveLargestRequest();
 }
 
 CallerListener::~CallerListener()
@@ -25,6 +30,10 @@
     const auto endpoint = endpointOf<tcp>(m_settings.m_listen);
     m_acceptor.open(endpoint.protocol());
     m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    if (m_settings.m_kernelBufferBytes > 0) { // Accepted connections inherit the sizes.
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(m_settings.m_kernelBufferBytes));
+        m_acceptor.set_option(asio::socket_base::send_buffer_size(m_settings.m_kernelBufferBytes));
+    }
     m_acceptor.bind(endpoint);
     m_acceptor.listen(asio::socket_base::max_listen_connections);
     accept();
@@ -46,7 +55,7 @@
 
 void CallerListener::addConnection(tcp::socket socket)
 {
-    if (m_connections.size() >= m_settings.m_maxConnections) {
+    if (m_connections.size() >= m_settings.m_maxConnections && !m_settings.m_budget->releaseOneOf(this, currentTime())) {
         return;
     }
     const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
@@ -98,6 +107,13 @@
 void CallerListener::setLimits(const Configuration::CallerLimits &limits)
 {
     m_settings.m_limits = limits;
+    reserveLargestRequest();
+}
+
+void CallerListener::reserveLargestRequest()
+{
+    constexpr std::uint64_t OtherBytes = 4U << 20U; // The head of the request and all idle connections.
+    m_settings.m_budget->setLargestRequest((2 * m_settings.m_limits.m_maxBodyBytes) + OtherBytes); // The buffer of a chunked body doubles as it grows.
 }
 
 void CallerListener::startDraining()
--- a/src/loop/operatorlistener.cpp
+++ b/src/loop/operatorlistener.cpp
@@ -11,9 +11,12 @@
 CallerListenerSettings listenerSettingsFrom(const OperatorListenerSettings &settings)
 {
     constexpr std::uint64_t MaxCommandBytes = 4U << 20U; // bytes
+    constexpr std::size_t MaxConnections = 128; // Beyond it, the least active connection is closed.
     CallerListenerSettings listenerSettings;
     listenerSettings.m_listen = settings.m_listen;
     listenerSettings.m_limits.m_maxBodyBytes = MaxCommandBytes;
+    listenerSettings.m_maxConnections = MaxConnections;
+    listenerSettings.m_budget = settings.m_budget;
     return listenerSettings;
 }
 
--- a/src/loop/relay.cpp
+++ b/src/loop/relay.cpp
@@ -47,6 +47,7 @@
         : m_settings(settings)
         , m_settingsFile(settingsFile)
         , m_log(log)
+        , m_budget(std::make_shared<CallerBudget>(settings.m_callerBudget))
         , m_context(1)
         , m_timer(m_context)
         , m_settingsFileTimer(m_context)
@@ -54,13 +55,14 @@
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_peerSocket(m_context, settings.m_host.m_peerAddress, [this](const Host::Event &event) { handle(event); })
         , m_state(Host::makeState(openPeerSocket(), adapter.m_source, randomSeed(), randomSeed()))
-        , m_callers(m_context, settings.m_callers, adapter.m_headerScheme, [this](const Host::Event &event) { handle(event); })
+        , m_callers(m_context, withBudget(settings.m_callers), adapter.m_headerScheme, [this](const Host::Event &event) { handle(event); })
         , m_backends(m_context, settings.m_backends, adapter.m_headerScheme, [this](const Host::Event &event) { handle(event); })
         , m_store(m_context, settings.m_store, adapter.m_storeFormat, [this](const Host::Event &event) { handle(event); })
-        , m_readinessListener(m_context, settings.m_status.m_readinessListen, makePageLookup())
-        , m_metricsListener(m_context, settings.m_status.m_metricsListen, makePageLookup())
-        , m_operators(m_context, settings.m_operators, makePageLookup(), [this](const Host::OperatorCommandReceived &command) { handle(command); })
+        , m_readinessListener(m_context, settings.m_status.m_readinessListen, m_budget, makePageLookup())
+        , m_metricsListener(m_context, settings.m_status.m_metricsListen, m_budget, makePageLookup())
+        , m_operators(m_context, withBudget(settings.m_operators), makePageLookup(), [this](const Host::OperatorCommandReceived &command) { handle(command); })
     {
+        m_budget->setObserver([this](ReleaseReason reason) { onCallerReleased(reason); });
     }
 
     void run()
@@ -79,6 +81,29 @@
     }
 
 private:
+    /// Returns the settings of a listener with the budget that all listeners share.
+    template<typename ListenerSettings> ListenerSettings withBudget(ListenerSettings settings) const
+    {
+        settings.m_budget = m_budget;
+        return settings;
+    }
+
+    /// Logs that connections of callers were closed, once a second at most, as there may be thousands.
+    void onCallerReleased(ReleaseReason reason)
+    {
+        constexpr Duration Interval = std::chrono::seconds(1);
+        const TimePoint now = currentTime();
+        if (now < m_nextReleaseLine) {
+            return;
+        }
+        m_nextReleaseLine = now + Interval;
+        m_log.log(Reporting::LogLine("caller-connections-closed", Reporting::Severity::Warning)
+                      .with("reason", reason == ReleaseReason::Memory ? "memory" : "connections")
+                      .with("held_bytes", std::to_string(m_budget->held()))
+                      .with("closed_for_memory", std::to_string(m_budget->released(ReleaseReason::Memory)))
+                      .with("closed_for_connections", std::to_string(m_budget->released(ReleaseReason::Connections))));
+    }
+
     /// Opens the port for other hosts. Returns the settings of the host with the actual address of that port.
     Host::HostSettings openPeerSocket()
     {
@@ -353,13 +378,17 @@
         Reporting::count(counters, "backend_connections_opened", m_backends.opened());
         Reporting::count(counters, "peer_datagrams_refused", m_peerSocket.refused());
         Reporting::count(counters, "exceptions", m_exceptions);
-        return Host::metricsOf(m_state, currentTime()) + Reporting::formatMetrics(counters);
+        Reporting::count(counters, "caller_connections_closed{reason=\"memory\"}", m_budget->released(ReleaseReason::Memory));
+        Reporting::count(counters, "caller_connections_closed{reason=\"connections\"}", m_budget->released(ReleaseReason::Connections));
+        const Reporting::Gauges gauges{{"caller_bytes_held", static_cast<double>(m_budget->held())}};
+        return Host::metricsOf(m_state, currentTime()) + Reporting::formatMetrics(counters) + Reporting::formatMetrics(gauges);
     }
 
     RelaySettings m_settings;
     SettingsFile m_settingsFile;
     std::optional<std::filesystem::file_time_type> m_settingsFileModifiedAt;
     LogWriter &m_log;
+    std::shared_ptr<CallerBudget> m_budget; ///< Outlives the context, whose pending operations may hold connections.
     asio::io_context m_context;
     asio::steady_timer m_timer;
     asio::steady_timer m_settingsFileTimer;
@@ -375,6 +404,7 @@
     OperatorListener m_operators;
     TimePoint m_timerExpiry = TimePoint::max();
     TimePoint m_noTimerBefore{}; ///< Earliest time of the next timer event, after one that failed.
+    TimePoint m_nextReleaseLine{}; ///< Earliest time of the next line about closed connections.
     std::uint64_t m_exceptions = 0; ///< Exceptions that ended the work on one connection, event or action.
     bool m_isReady = false;
     TimePoint m_exitAt; ///< Time at which the event loop stops although responses are being written.
--- a/src/loop/statuslistener.cpp
+++ b/src/loop/statuslistener.cpp
@@ -5,10 +5,15 @@
 
 namespace {
 
-CallerListenerSettings listenerSettingsFor(const std::string &listen)
+CallerListenerSettings listenerSettingsFor(const std::string &listen, const std::shared_ptr<CallerBudget> &budget)
 {
+    constexpr std::uint64_t MaxBodyBytes = 1024; // Requests for a page have no body.
+    constexpr std::size_t MaxConnections = 64; // Enough for balancers and scrapers; beyond it, the least active connection is closed.
     CallerListenerSettings settings;
     settings.m_listen = listen;
+    settings.m_limits.m_maxBodyBytes = MaxBodyBytes;
+    settings.m_maxConnections = MaxConnections;
+    settings.m_budget = budget;
     return settings;
 }
 
@@ -24,9 +29,9 @@
     return stream;
 }
 
-StatusListener::StatusListener(asio::io_context &context, const std::string &listen, PageLookup pageLookup)
+StatusListener::StatusListener(asio::io_context &context, const std::string &listen, const std::shared_ptr<CallerBudget> &budget, PageLookup pageLookup)
     : m_pageLookup(std::move(pageLookup))
-    , m_listener(context, listenerSettingsFor(listen), Http::defaultHeaderScheme(), [this](const Host::Event &event) { onEvent(event); })
+    , m_listener(context, listenerSettingsFor(listen, budget), Http::defaultHeaderScheme(), [this](const Host::Event &event) { onEvent(event); })
 {
 }
 
--- a/src/settings/fleetsections.cpp
+++ b/src/settings/fleetsections.cpp
@@ -22,10 +22,13 @@
 {
     constexpr double MinCapacity = 0.001;
     constexpr double MaxCapacity = 1000.0;
+    constexpr std::uint64_t MinMemory = 64ULL << 20U;
+    constexpr std::uint64_t MaxMemory = 1ULL << 40U;
     HostSettings settings;
     settings.m_name = HostId(reader.text("name", Presence::Required));
     settings.m_domain = FailureDomainId(reader.text("failure-domain", Presence::Required));
     settings.m_capacity = reader.number("capacity", settings.m_capacity, MinCapacity, MaxCapacity);
+    settings.m_memory = reader.has("memory") ? reader.byteSize("memory", 0, MinMemory, MaxMemory) : 0;
     reader.reportUnknownKeys();
     return settings;
 }
--- a/src/settings/httpsections.cpp
+++ b/src/settings/httpsections.cpp
@@ -35,10 +35,18 @@
     constexpr std::uint64_t MinHeaderLimit = 2048;
     constexpr std::uint64_t MaxHeaderLimit = 256ULL << 10U;
     constexpr std::uint64_t MaxConnectionLimit = 65536;
+    constexpr std::uint64_t MinHeaderFieldLimit = 32;
+    constexpr std::uint64_t MaxHeaderFieldLimit = 65536;
+    constexpr std::uint64_t MinMemoryLimit = 4ULL << 20U;
+    constexpr std::uint64_t MaxMemoryLimit = 64ULL << 30U;
     CallerSettings settings;
     settings.m_listen = reader.address("listen", Presence::Required);
     settings.m_bodyLimit = reader.byteSize("body-limit", settings.m_bodyLimit, MinBodyLimit, MaxBodyLimit);
     settings.m_headerLimit = reader.byteSize("header-limit", settings.m_headerLimit, MinHeaderLimit, MaxHeaderLimit);
+    settings.m_headerFieldLimit = reader.integer("header-field-limit", settings.m_headerFieldLimit, MinHeaderFieldLimit, MaxHeaderFieldLimit);
+    if (reader.has("memory-limit")) {
+        settings.m_memoryLimit = reader.byteSize("memory-limit", 0, MinMemoryLimit, MaxMemoryLimit);
+    }
     settings.m_connectionLimit = reader.integer("connection-limit", settings.m_connectionLimit, 1, MaxConnectionLimit);
     settings.m_headerTimeout = reader.duration("header-timeout", settings.m_headerTimeout, milliseconds(100), minutes(5));
     settings.m_bodyTimeout = reader.duration("body-timeout", settings.m_bodyTimeout, milliseconds(100), minutes(10));
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -39,6 +39,9 @@
     if (!root.has("operators") && !root.has("readiness")) {
         root.reportAt("readiness", ErrorId::SettingsMissingKey, "the balancer needs the section 'readiness' or 'operators'");
     }
+    if (settings.m_host.m_memory > 0 && settings.m_callers.m_memoryLimit.value_or(0) >= settings.m_host.m_memory) {
+        root.reportAt("callers", ErrorId::SettingsCrossReference, "'callers.memory-limit' must be below 'host.memory'");
+    }
     root.reportUnknownKeys();
     return settings;
 }
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -71,6 +71,21 @@
         CHECK(refused.error().size() == 3);
     }
 
+    SECTION("the memory of the machine bounds the memory for callers")
+    {
+        const std::string host = "host:\n  memory: 160MiB\n  name: h1\n  failure-domain: d1\n";
+        const std::string rest = std::string(ValidSettings).substr(std::string(ValidSettings).find("callers:"));
+        const auto settings = parseSettings(host + rest, "host.yaml");
+        REQUIRE(settings);
+        CHECK(settings->m_host.m_memory == 160U << 20U);
+        CHECK_FALSE(settings->m_callers.m_memoryLimit);
+        std::string tooLarge = host + rest;
+        tooLarge.replace(tooLarge.find("callers:\n"), 9, "callers:\n  memory-limit: 160MiB\n  header-field-limit: 1\n");
+        const auto refused = parseSettings(tooLarge, "host.yaml");
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().size() == 2);
+    }
+
     SECTION("all findings are reported together, each with its line and column")
     {
         const auto settings = parseSettings(R"(host:
