Treat status codes outside of 100 to 599 as malformed responses

Requests to a server that sent status 000 or 099 waited until their timeout (504); 600 and 999 reached callers.

The reader took each status below 200 for an interim response and had no upper bound. By RFC 9110, section 15, such codes are invalid: the response is malformed, so that a request that may be repeated is repeated at once and another one ends with 502.

Before the fix, the unit test failed for all five codes, and InvalidStatus failed on both interfaces for 000, 099 (504), 600 and 999; both pass now, as does the whole of processes_faulty_responses.

--- a/src/http/responsereader.cpp
+++ b/src/http/responsereader.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t MaxHeadBytes = 16U << 10U;
 constexpr std::uint16_t SwitchingProtocols = 101;
 constexpr std::uint16_t FirstFinalStatus = 200;
+constexpr std::uint16_t FirstStatus = 100; // RFC 9110, section 15: status codes are 100 to 599.
+constexpr std::uint16_t LastStatus = 599;
 
 /// Returns whether a header can be forwarded without breaking a line.
 bool hasValidValue(const Header &header)
@@ -46,6 +48,10 @@
     bool applyHead()
     {
         const auto &message = m_parser->get();
+        if (message.result_int() < FirstStatus || message.result_int() > LastStatus) {
+            m_state = ResponseState::Broken;
+            return true;
+        }
         if (message.result_int() < FirstFinalStatus && message.result_int() != SwitchingProtocols) {
             return false;
         }
--- a/tests/http/responsereader.cpp
+++ b/tests/http/responsereader.cpp
@@ -88,3 +88,20 @@
         CHECK(reader.state() == ResponseState::Broken);
     }
 }
+
+// RFC 9110, section 15: status codes are 100 to 599. 000 and 099 were skipped like interim responses, so that the request waited until its
+// timeout; 600 and 999 were passed on.
+TEST_CASE("regression: a response with an invalid status code wasn't malformed")
+{
+    const std::string status = GENERATE("000", "001", "099", "600", "999");
+    CAPTURE(status);
+    ResponseReader reader(ResponseBody::Expected);
+    CHECK(feed(reader, {"HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n"}) == ResponseState::Broken);
+}
+
+TEST_CASE("the smallest and the largest status code are valid")
+{
+    ResponseReader reader(ResponseBody::Expected);
+    CHECK(feed(reader, {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Odd\r\n\r\nHTTP/1.1 599 Odd\r\nContent-Length: 0\r\n\r\n"}) == ResponseState::Whole);
+    CHECK(reader.head().m_status == 599);
+}
--- a/tests/processes/test_faulty_responses.py
+++ b/tests/processes/test_faulty_responses.py
@@ -87,6 +87,46 @@
             self.assertIsNone(fleet.hosts[0].process.poll())
 
 
+class InvalidStatus(unittest.TestCase):
+    """Guards against responses with a status that isn't 100 to 599: a request waited for another response until its timeout, or its caller got that status."""
+
+    STATUSES = ("000", "099", "600", "999")
+
+    def behaviours(self):
+        """Returns two servers. The first attempt of a request for /spoiled/NUMBER/... gets an invalid status at either, a second one is served."""
+        seen = set()
+
+        def respond(server, connection, request):
+            is_first = "/spoiled/" in request.target and request.target not in seen
+            seen.add(request.target)
+            status = self.STATUSES[int(request.target.split("/")[-2])] if is_first else "200"
+            attempt = f"Attempt-Id: {request.headers.get('attempt-id', '')}\r\n"
+            server.send(connection, f"HTTP/1.1 {status} Odd\r\n{attempt}Content-Length: 2\r\n\r\nok".encode())
+
+        return [FaultyServer(respond) for _ in range(2)]
+
+    def check(self, send_request):
+        """A request that may be sent again ends with 200; one that may have run and must not run twice ends with 502."""
+        for number, status in enumerate(self.STATUSES):
+            with self.subTest(status=status):
+                self.assertEqual(send_request("GET", f"/spoiled/{number}/a", f"a{number}"), 200)
+                self.assertEqual(send_request("POST", f"/buy/spoiled/{number}/b", f"b{number}"), 502)
+
+    def test_own_interface(self):
+        with Fleet(hosts=1, backends=0) as fleet:
+            fleet.backends = self.behaviours()
+            key = fleet.configure()
+            self.check(lambda method, path, _: request(fleet.hosts[0].callers, method, path, bearer(key), b"x" if method == "POST" else None).status)
+
+    def test_platform_interface(self):
+        with PlatformFleet(hosts=1, backends=2) as fleet:
+            for backend in fleet.backends:
+                backend.close()
+            fleet.backends = self.behaviours()
+            fleet.publish()
+            self.check(lambda method, path, attempt: send(fleet.hosts[0], path, method=method, attempt=attempt, body=b"x" if method == "POST" else None).status)
+
+
 def peak_memory(process):
     """Returns the greatest resident size of a process so far, in bytes."""
     with open(f"/proc/{process.pid}/status", encoding="ascii") as file:
