Reserve no more than the largest size for a growing body

On a host with host.memory 160MiB and body-limit 64MiB, a chunked body of 64 MiB was refused although nothing else was going on: its buffer had doubled beyond the largest size, and all of that counted. One with a length left a peak of 135 MiB after a second request.

The budget is raised by the body limit only, not twice.

--- a/src/http/requestreader.cpp
+++ b/src/http/requestreader.cpp
@@ -37,6 +37,7 @@
     {
         m_parser.header_limit(static_cast<std::uint32_t>(limits.m_maxHeaderBytes));
         m_parser.body_limit(limits.m_maxBodyBytes);
+        m_parser.get().body().m_maxSize = limits.m_maxBodyBytes;
     }
 
     void refuse(RequestReadError refusal)
@@ -129,12 +130,12 @@
 
 std::string RequestReader::takeBody()
 {
-    return std::move(m_implementation->m_parser.get().body());
+    return std::move(m_implementation->m_parser.get().body().m_bytes);
 }
 
 std::size_t RequestReader::memorySize() const
 {
-    return sizeof(Implementation) + m_implementation->m_headBytes + m_implementation->m_parser.get().body().capacity();
+    return sizeof(Implementation) + m_implementation->m_headBytes + m_implementation->m_parser.get().body().m_bytes.capacity();
 }
 
 bool RequestReader::expectsContinue() const
--- a/src/http/responsereader.cpp
+++ b/src/http/responsereader.cpp
@@ -138,7 +138,7 @@
 
 std::string ResponseReader::takeBody()
 {
-    return std::exchange(m_implementation->m_parser->get().body(), {});
+    return std::exchange(m_implementation->m_parser->get().body().m_bytes, {});
 }
 
 }
--- a/src/loop/callerlistener.cpp
+++ b/src/loop/callerlistener.cpp
@@ -113,7 +113,7 @@
 void CallerListener::reserveLargestRequest()
 {
     constexpr std::uint64_t OtherBytes = 4U << 20U; // The head of the request and all idle connections.
-    m_settings.m_budget->setLargestRequest((2 * m_settings.m_limits.m_maxBodyBytes) + OtherBytes); // The buffer of a chunked body doubles as it grows.
+    m_settings.m_budget->setLargestRequest(m_settings.m_limits.m_maxBodyBytes + OtherBytes);
 }
 
 void CallerListener::startDraining()
