Refuse requests of a workspace far over its limit without asking the leader

What callers saw: one workspace sent 6.5 times its usual rate for 6 s, and the other 82 workspaces of 123 hosts were refused, too.

Cause: each request over a limit was a message to the leader. Once it was 15 ms behind, hosts sent every request twice; replies to such requests aren't measured, so they kept expecting one in 2.5 ms and decided by themselves after 40 ms, with less than a token of each limit.

Change: hosts count what the leader admits and refuses by workspace and refuse most of the further requests themselves (limits/throttle.h, adaptive throttling of Beyer et al., Site Reliability Engineering, 2016, chapter 21), in place of the hold of 0.1 s. Resends are limited to one for five requests, and none is made after a timeout. A host without a token of its own waits on for a leader that is late but alive. A placement queued for a host that has decided by itself is cancelled.

The leader is still asked for more than it admits: each host asks at least once a second.

--- a/include/ragwortrelay/detail/host/handlers.h
+++ b/include/ragwortrelay/detail/host/handlers.h
@@ -73,8 +73,31 @@
 /// @param leader host that replied; empty when this host decided by itself
 void onPlacementReply(State &state, const HostId &leader, const Scheduling::PlacementReply &reply, TimePoint now, Actions &actions);
 
-/// Refuses a request of a workspace that the leader has just reported as over its limit in reply to another request.
-void denyOverLimit(State &state, ExchangeId id, const ExhaustedLimit &limit, TimePoint now, Actions &actions);
+/// A request that this host refuses without asking the leader, since the leader has refused others of its workspace.
+struct ThrottledRequest {
+    DeniedPlacement m_denied; ///< Last placement of the workspace that the leader denied.
+    Duration m_retryAfter{};
+};
+
+/// Refuses a throttled request.
+void refuseThrottled(State &state, ExchangeId id, const ThrottledRequest &throttled, TimePoint now, Actions &actions);
+
+// Throttling
+
+/// Decides whether a request is refused without asking the leader, and counts it if so.
+std::optional<ThrottledRequest> throttle(State &state, const WorkspaceId &workspace, Scheduling::AttemptKind purpose, TimePoint now, Actions &actions);
+
+/// Counts whether a leader has found a request within the limit of its workspace.
+/// @param leader host that replied; empty when this host decided by itself, which isn't counted
+void recordLimitOutcome(
+    State &state, const WorkspaceId &workspace, Scheduling::AttemptKind purpose, const HostId &leader, const Scheduling::PlacementReply &reply, TimePoint now);
+
+/// Remembers a placement that this host decides by itself, since the leader hasn't replied in time.
+void recordOverdue(State &state, const Scheduling::PlacementRequest &placement, TimePoint now);
+
+/// Counts the reply to a placement that this host has decided by itself in the meantime. A leader that is behind refuses late, and the hosts have to learn of
+/// it.
+void recordLateReply(State &state, const HostId &leader, const Scheduling::PlacementReply &reply, TimePoint now);
 
 // Announcements of servers
 
--- a/include/ragwortrelay/host/settings.h
+++ b/include/ragwortrelay/host/settings.h
@@ -5,6 +5,7 @@
 #include <ragwortrelay/dispatch/claimledger.h>
 #include <ragwortrelay/fleet/leadership.h>
 #include <ragwortrelay/fleet/replytimeout.h>
+#include <ragwortrelay/limits/throttle.h>
 #include <ragwortrelay/scheduling/scheduler.h>
 
 #include <chrono>
@@ -19,8 +20,9 @@
 struct PlacementSettings {
     Duration m_resendBackoff{
         std::chrono::milliseconds(15)}; ///< First pause before an unanswered placement request is sent again; each further pause is twice as long.
+    double m_resendRatio = 0.2; ///< Resends that each placement request allows. A leader that is behind would get twice as many messages otherwise.
     Fleet::ReplyTimeoutSettings m_leaderTimeout; ///< Time without a reply of the leader after which the host decides by itself.
-    Duration m_exhaustedHold{std::chrono::milliseconds(100)}; ///< Time for which a host sends no requests for a workspace that is over its limit.
+    Limits::ThrottleSettings m_throttle; ///< Refusal of requests of workspaces over their limits without asking the leader.
     Duration m_askInterval{std::chrono::milliseconds(250)}; ///< Interval between two requests for a placement that the leader has queued.
 
     friend bool operator==(const PlacementSettings &, const PlacementSettings &) = default;
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -10,6 +10,7 @@
 #include <ragwortrelay/host/configurationsource.h>
 #include <ragwortrelay/host/event.h>
 #include <ragwortrelay/host/settings.h>
+#include <ragwortrelay/limits/throttle.h>
 #include <ragwortrelay/operators/command.h>
 #include <ragwortrelay/reporting/counters.h>
 #include <ragwortrelay/reporting/servicelevel.h>
@@ -64,11 +65,18 @@
     Scheduling::RefusalReason m_reason{};
 };
 
-/// A workspace that the leader has reported as over its limit.
-struct ExhaustedLimit {
-    DeniedPlacement m_denied; ///< Denied placement that reported the limit.
-    TimePoint m_until; ///< Time until which further requests are refused without a placement request.
-    TimePoint m_nextTokenAt; ///< Expected time of the next token.
+/// A workspace whose requests the leader has refused as over the limit.
+struct ThrottledWorkspace {
+    Limits::Throttle m_throttle;
+    DeniedPlacement m_denied; ///< Last placement that the leader denied.
+    bool m_isLogged = false; ///< Its first request that was refused without asking the leader has been logged.
+};
+
+/// A placement request that the leader has not replied to in time.
+struct OverduePlacement {
+    WorkspaceId m_workspace;
+    Scheduling::AttemptKind m_purpose{};
+    TimePoint m_since; ///< Time at which the host decided by itself.
 };
 
 /// A request of a caller that hasn't been answered yet.
@@ -120,6 +128,7 @@
     TimePoint m_decideAt; ///< Time at which the host decides by itself if the leader hasn't replied.
     unsigned m_unacknowledged = 0; ///< Number of times the request was sent since the last message of the leader about it.
     bool m_isQueued = false; ///< The leader has queued the placement and replies later.
+    bool m_isExtended = false; ///< The leader is late, and the host waits on since it has no token for the request.
 };
 
 /// Purpose of a call to the store.
@@ -259,6 +268,7 @@
     TimePoint m_membershipChangedAt{};
     Fleet::Leadership m_leadership;
     Fleet::ReplyTimeout m_leaderTimeout; ///< Reply time of the present leader to placement requests.
+    double m_resendBudget = 1.0; ///< Placement requests that may be sent again; see PlacementSettings::m_resendRatio.
     std::map<HostId, FollowerTables> m_followerTables;
     std::uint64_t m_minConfigurationVersion =
         0; ///< Lowest version of the configuration on the hosts that send heartbeats to the leader, as reported by the leader.
@@ -281,7 +291,9 @@
     std::unordered_map<ExchangeId, Exchange> m_exchanges;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::unordered_map<std::uint64_t, PendingPlacement> m_placements; ///< Placements that wait for their replies, by number.
-    std::map<WorkspaceId, ExhaustedLimit> m_exhaustedLimits;
+    std::map<WorkspaceId, ThrottledWorkspace> m_throttled; ///< Workspaces that the present leader has refused as over their limits.
+    std::map<std::uint64_t, OverduePlacement> m_overduePlacements; ///< Placements whose replies may still come, by number.
+    TimePoint m_throttledCheckedAt{}; ///< Last removal of workspaces that are no longer throttled.
     std::multimap<TimePoint, Timer> m_timers;
     Dispatch::ClaimLedger m_claims;
     std::vector<Dispatch::ClaimDecision> m_claimDecisions; ///< Decisions to be performed before handle() returns.
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -293,9 +293,11 @@
 {
     const auto pending = state.m_placements.find(reply.m_number);
     if (pending == state.m_placements.end() || pending->second.m_leader != leader) {
+        recordLateReply(state, leader, reply, now);
         const bool isUsed = std::ranges::any_of(state.m_attempts, [&](const auto &entry) { return entry.second.m_placement == reply.m_number; });
         if (reply.m_server && !isUsed) {
             returnUnusedPlacement(state, leader, reply, now); // This host has decided the placement without the leader in the meantime.
+            Reporting::count(state.m_counters, "draws_unused");
         }
         return;
     }
@@ -306,23 +308,19 @@
     const AttemptKind purpose = pending->second.m_placement.m_purpose;
     state.m_placements.erase(pending);
     state.m_exchanges.at(id).m_placement.reset();
+    recordLimitOutcome(state, state.m_exchanges.at(id).m_workspace, purpose, leader, reply, now);
     if (reply.m_server) {
         return startAttempt(state, id, leader, purpose, reply, now, actions);
     }
     Exchange &exchange = state.m_exchanges.at(id);
     exchange.m_denied = {leader.isEmpty() ? state.m_settings.m_host : leader, reply.m_number, reply.m_reason};
-    if (!leader.isEmpty() && reply.m_reason == RefusalReason::OverLimit) {
-        std::erase_if(state.m_exhaustedLimits, [&](const auto &entry) { return entry.second.m_until <= now; });
-        const Duration hold = std::min(reply.m_retryAfter, state.m_settings.m_placements.m_exhaustedHold);
-        state.m_exhaustedLimits[exchange.m_workspace] = {*exchange.m_denied, now + hold, now + reply.m_retryAfter};
-    }
     giveUp(state, id, problemOf(reply), now, actions);
 }
 
-void denyOverLimit(State &state, ExchangeId id, const ExhaustedLimit &limit, TimePoint now, Actions &actions)
+void refuseThrottled(State &state, ExchangeId id, const ThrottledRequest &throttled, TimePoint now, Actions &actions)
 {
-    state.m_exchanges.at(id).m_denied = limit.m_denied;
-    giveUp(state, id, problemOf(PlacementReply{0, {}, {}, RefusalReason::OverLimit, limit.m_nextTokenAt - now}), now, actions);
+    state.m_exchanges.at(id).m_denied = throttled.m_denied;
+    giveUp(state, id, problemOf(PlacementReply{0, {}, {}, RefusalReason::OverLimit, throttled.m_retryAfter}), now, actions);
 }
 
 void onAttemptResponded(State &state, const AttemptResponded &response, TimePoint now, Actions &actions)
--- a/src/host/fleet.cpp
+++ b/src/host/fleet.cpp
@@ -136,6 +136,7 @@
     }
     logLeaderChange(state, before, now, actions);
     state.m_leaderTimeout = {};
+    state.m_throttled.clear();
     if (Fleet::isLeader(state.m_leadership)) {
         state.m_leadingSince = now;
         state.m_followerTables.clear();
--- a/src/host/placements.cpp
+++ b/src/host/placements.cpp
@@ -73,15 +73,6 @@
     suppressed = {now, 0};
 }
 
-/// Returns the exhausted limit of the workspace of a request if the present leader has just reported it, else nullptr. The leader need not be asked then.
-const ExhaustedLimit *exhaustedLimit(const State &state, const Exchange &exchange, AttemptKind purpose, TimePoint now)
-{
-    const auto limit = state.m_exhaustedLimits.find(exchange.m_workspace);
-    const bool isExhausted =
-        limit != state.m_exhaustedLimits.end() && now < limit->second.m_until && limit->second.m_denied.m_leader == state.m_leadership.m_leader;
-    return purpose == AttemptKind::First && isExhausted ? &limit->second : nullptr;
-}
-
 /// Decides a placement by this host's own scheduler, or queues it there.
 void decideLocally(State &state, PendingPlacement &pending, TimePoint now, Actions &actions)
 {
@@ -102,9 +93,13 @@
     return std::min(Fleet::waitFor(state.m_leaderTimeout, settings), std::max(settings.m_minTimeout, spare / 2));
 }
 
-/// Tells whether the leader usually takes longer to reply than the first pause before a resend. It may be overloaded, and a resend would make it slower.
+/// Tells whether the leader usually takes longer to reply than the first pause before a resend, or left the last request without a reply in time. It may be
+/// overloaded, and a resend would make it slower. The reply to a request that was sent again doesn't tell how long the leader takes.
 bool exceedsResendBackoff(const State &state)
 {
+    if (state.m_leaderTimeout.m_timeouts > 0) {
+        return true;
+    }
     const Duration resendBackoff = state.m_settings.m_placements.m_resendBackoff;
     return state.m_leadership.m_replyTime > resendBackoff || state.m_leaderTimeout.m_smoothed.value_or(Duration(0)) > resendBackoff;
 }
@@ -131,6 +126,48 @@
     sendTo(state, pending.m_leader, pending.m_placement);
 }
 
+/// Takes a resend from the budget. Returns whether there was one.
+bool takeResend(State &state)
+{
+    if (state.m_resendBudget < 1.0) {
+        return false;
+    }
+    state.m_resendBudget -= 1.0;
+    return true;
+}
+
+/// Returns until when a host waits for a leader that is late, instead of deciding by itself: as long as the request can spare, if the leader is alive and the
+/// host has no token for the request. Its part of the limit is small, and a refusal would be certain.
+/// @return nothing if the host has to decide now
+std::optional<TimePoint> extendedWait(const State &state, const PendingPlacement &pending, TimePoint now)
+{
+    const bool isAlive = now - state.m_leadership.m_leaderHeardAt < state.m_settings.m_leadership.m_signOfLifeDuration;
+    const auto bucket = state.m_scheduler.m_buckets.find(pending.m_placement.m_workspace);
+    const bool isLimited = pending.m_placement.m_purpose == AttemptKind::First && bucket != state.m_scheduler.m_buckets.end();
+    if (pending.m_isQueued || pending.m_isExtended || !isAlive || !isLimited) {
+        return std::nullopt;
+    }
+    Limits::TokenBucket refilled = bucket->second;
+    if (Limits::takeToken(refilled, now)) {
+        return std::nullopt;
+    }
+    const Duration spare = pending.m_placement.m_objectiveLeft - Scheduling::usualTimeOf(state.m_scheduler, pending.m_placement.m_service);
+    const TimePoint until = pending.m_sentAt + std::min(state.m_settings.m_placements.m_leaderTimeout.m_maxTimeout, spare / 2);
+    return until > now ? std::optional(until) : std::nullopt;
+}
+
+/// Goes on waiting for a leader that is late, and counts the time so far as its reply time: it is a lower bound of it.
+void extendWait(State &state, PendingPlacement &pending, TimePoint until, TimePoint now)
+{
+    const unsigned timeouts = state.m_leaderTimeout.m_timeouts;
+    state.m_leaderTimeout = Fleet::afterReply(state.m_leaderTimeout, now - pending.m_sentAt);
+    state.m_leaderTimeout.m_timeouts = timeouts;
+    pending.m_isExtended = true;
+    pending.m_decideAt = until;
+    state.m_timers.emplace(until, Timer{TimerKind::PlacementRequest, pending.m_placement.m_number});
+    Reporting::count(state.m_counters, "draws_late");
+}
+
 /// Returns the requester for a host. Its failure domain is empty when the host doesn't follow this one.
 Scheduling::Requester requesterOf(const State &state, const HostId &host)
 {
@@ -159,16 +196,19 @@
     if (exchange.m_placement) { // It belongs to a hedge, which is refused in cases where the new placement may be queued.
         cancelPlacement(state, *exchange.m_placement);
     }
-    if (const ExhaustedLimit *limit = exhaustedLimit(state, exchange, purpose, now)) {
-        return denyOverLimit(state, id, *limit, now, actions);
+    const bool asksLeader = hasLeader(state) && !Fleet::isPaused(state.m_leaderTimeout, now);
+    if (const auto throttled = asksLeader ? throttle(state, exchange.m_workspace, purpose, now, actions) : std::nullopt) {
+        return refuseThrottled(state, id, *throttled, now, actions);
     }
     const PlacementRequest placement = placementRequestFor(state, exchange, purpose, now);
     exchange.m_placement = placement.m_number;
     PendingPlacement &pending = state.m_placements[placement.m_number];
-    pending = {id, placement, {}, now, now + leaderTimeoutOf(state, placement), 0, false};
-    if (!hasLeader(state) || Fleet::isPaused(state.m_leaderTimeout, now)) {
+    pending = {id, placement, {}, now, now + leaderTimeoutOf(state, placement), 0, false, false};
+    if (!asksLeader) {
         return decideLocally(state, pending, now, actions);
     }
+    constexpr double MaxResendBudget = 2.0;
+    state.m_resendBudget = std::min(MaxResendBudget, state.m_resendBudget + state.m_settings.m_placements.m_resendRatio);
     pending.m_leader = state.m_leadership.m_leader;
     sendToLeader(state, pending, now);
 }
@@ -205,13 +245,21 @@
     const bool hasLeaderChanged = pending.m_leader != state.m_leadership.m_leader;
     const bool isTimedOut = pending.m_isQueued ? pending.m_unacknowledged > MaxUnacknowledged : now >= pending.m_decideAt;
     if (!hasLeaderChanged && !isTimedOut) {
-        return sendToLeader(state, pending, now);
+        if (pending.m_isQueued || takeResend(state)) {
+            return sendToLeader(state, pending, now);
+        }
+        state.m_timers.emplace(pending.m_decideAt, Timer{TimerKind::PlacementRequest, number});
+        return;
+    }
+    if (const auto until = hasLeaderChanged ? std::nullopt : extendedWait(state, pending, now)) {
+        return extendWait(state, pending, *until, now);
     }
     Reporting::count(state.m_counters, "draws_unanswered");
     if (!hasLeaderChanged) {
         state.m_leaderTimeout = Fleet::afterTimeout(state.m_leaderTimeout, state.m_settings.m_placements.m_leaderTimeout, state.m_random, now);
     }
     Fleet::expediteHeartbeat(state.m_leadership, now);
+    recordOverdue(state, pending.m_placement, now);
     decideLocally(state, pending, now, actions);
 }
 
@@ -230,7 +278,9 @@
         recordLeaderReply(state, pending->second, now);
         pending->second.m_isQueued = true;
         pending->second.m_unacknowledged = 0;
+        return;
     }
+    sendTo(state, from, Fleet::PlacementCancelled{queued.m_number}); // This host has decided by itself; the leader need not keep a token or a slot for it.
 }
 
 void serveQueues(State &state, TimePoint now, Actions &actions)
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -187,6 +187,9 @@
     [[nodiscard]] std::vector<Store::Row> changes(const Store::WatchTable &call) const
     {
         std::vector<Store::Row> rows;
+        if (call.m_after >= m_version) {
+            return rows;
+        }
         for (const auto &[key, row] : m_rows) {
             if (key.m_table == call.m_table && row.m_version > Store::numberOf(call.m_after)) {
                 rows.push_back(asRead(row));
