Give a host no part of a limit before the table of hosts names it

Cause: the ranking of a process that hasn't read the table holds only itself, so its part was the whole.

Change: Leadership::m_isRegistered tells whether the known table names the host; without it the host's own part is 0, and it hands out only what registered followers lease to it. A host without an address for other hosts has the whole, as before.

--- a/include/ragwortrelay/fleet/leadership.h
+++ b/include/ragwortrelay/fleet/leadership.h
@@ -66,6 +66,8 @@
 struct Leadership {
     LeadershipSettings m_settings;
     HostId m_self;
+    bool m_isRegistered =
+        false; ///< The table of hosts names this host. Only then does this host have a share of its own, since the registered hosts share the whole.
     std::vector<HostId> m_ranking; ///< Registered hosts and this one, in the order in which they are preferred as leader.
     HostId m_leader; ///< Host that this one follows; this host itself if it leads.
     unsigned m_unacknowledged = 0; ///< Consecutive heartbeats to the leader without a reply.
@@ -90,7 +92,7 @@
     bool m_isStoreReader = false; ///< The leader has appointed this host to read the store.
 };
 
-/// Creates the state of a host that leads itself.
+/// Creates the state of a host that leads itself. It has no share of its own before setMembership() names it.
 Leadership makeLeadership(const LeadershipSettings &settings, const HostId &self);
 
 /// Returns whether this host leads. Thread-safe while the state isn't modified, like all functions here that take it as constant.
@@ -130,8 +132,8 @@
 /// of this host's heartbeats.
 std::optional<TimePoint> writtenAfter(const Heartbeat &heartbeat);
 
-/// Returns the share of all limits that this host may hand out, 0 to 1. Takes constant time between a tick() and the next change of a follower, else time
-/// linear in the followers.
+/// Returns the share of all limits that this host may hand out, 0 to 1. A host that isn't known to be registered hands out only what others lease to it. Takes
+/// constant time between a tick() and the next change of a follower, else time linear in the followers.
 double shareOf(const Leadership &leadership, TimePoint now);
 
 /// Returns whether a follower has leased its whole share to this host, so that it counts for no other leader.
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -259,6 +259,7 @@
 void setMembership(Leadership &leadership, const Membership &membership, TimePoint now)
 {
     Membership members = membership;
+    leadership.m_isRegistered = members.contains(leadership.m_self);
     members.try_emplace(leadership.m_self);
     const bool knewNoHosts = leadership.m_ranking.size() == 1;
     leadership.m_ranking = ranking(members);
@@ -375,11 +376,12 @@
 double shareOf(const Leadership &leadership, TimePoint now)
 {
     const double hostCount = static_cast<double>(std::max<std::size_t>(1, leadership.m_ranking.size()));
+    const double own = leadership.m_isRegistered ? 1.0 : 0.0;
     if (!isLeader(leadership)) {
         const bool isLeased = now < leadership.m_leaseExpiresAt;
-        return (isLeased ? leadership.m_settings.m_retainedFraction : 1.0) / hostCount;
+        return own * (isLeased ? leadership.m_settings.m_retainedFraction : 1.0) / hostCount;
     }
-    const double shares = availableFraction(leadership, leadership.m_self, now) + leasesOf(leadership, now).m_fractions;
+    const double shares = own * availableFraction(leadership, leadership.m_self, now) + leasesOf(leadership, now).m_fractions;
     return std::min(1.0, shares / hostCount);
 }
 
--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -142,6 +142,7 @@
     state.m_claims.m_settings = settings.m_claims;
     state.m_claims.m_settings.m_owner = settings.m_host.text() + '/' + std::to_string(incarnation);
     state.m_leadership = Fleet::makeLeadership(settings.m_leadership, settings.m_host);
+    state.m_leadership.m_isRegistered = settings.m_peerAddress.empty(); // A host that works alone has the whole of each limit.
     state.m_secret = settings.m_secret;
     state.m_lastPlacement = randomBelow(state.m_random, std::uint64_t{1} << 48U); // So that the numbers differ from those of an earlier process.
     state.m_staleDelay = Duration(static_cast<std::int64_t>(randomBelow(state.m_random, settings.m_freshness.m_staleJitter.count() + 1)));
--- a/tests/fleet/leadership.cpp
+++ b/tests/fleet/leadership.cpp
@@ -29,9 +29,20 @@
     }
 
     void start(const HostId &id)
+    {
+        startWithoutTable(id);
+        readTable(id);
+    }
+
+    /// Starts a host that can't read the table of the hosts.
+    void startWithoutTable(const HostId &id)
     {
         ++m_incarnations[id];
         m_hosts[id] = makeLeadership({}, id);
+    }
+
+    void readTable(const HostId &id)
+    {
         setMembership(m_hosts[id], m_membership, clockOf(id));
     }
 
@@ -78,6 +89,16 @@
         return sum;
     }
 
+    /// Returns the sum of the shares that all hosts may use by themselves or hand out.
+    double sumOfAllShares() const
+    {
+        double sum = 0.0;
+        for (const auto &[id, leadership] : m_hosts) {
+            sum += shareOf(leadership, clockOf(id));
+        }
+        return sum;
+    }
+
     std::map<HostId, Leadership> m_hosts;
     std::set<std::pair<HostId, HostId>> m_partitions; ///< Pairs of sender and receiver whose messages are lost.
     double m_maxLeasedShare = 0.0;
@@ -181,6 +202,31 @@
     }
 }
 
+namespace {
+
+constexpr double Tolerance = 1e-9;
+
+/// Plays one random event: a loss of messages in one direction, its end, or the loss or the start of a host, which may be unable to read the table of hosts.
+void playStep(HeartbeatSimulation &simulation, std::uint8_t step)
+{
+    const HostId one("h" + std::to_string(step % 5 + 1));
+    const HostId other("h" + std::to_string(step / 5 % 5 + 1));
+    if (step % 4 == 0) {
+        simulation.m_partitions.insert({one, other});
+    } else if (step % 4 == 1) {
+        simulation.m_partitions.clear();
+    } else if (simulation.m_hosts.contains(one)) {
+        simulation.stop(one);
+    } else if (step % 3 == 0) {
+        simulation.startWithoutTable(one);
+    } else {
+        simulation.start(one);
+    }
+    simulation.run(milliseconds(100 + step * 10));
+}
+
+}
+
 TEST_CASE("leased shares")
 {
     rc::prop("exceed the limit by at most half under host loss, partitions and restarts", [](const std::vector<std::uint8_t> &steps, std::uint8_t lossStep) {
@@ -188,23 +234,57 @@
         simulation.m_lossProbability = (lossStep % 5) * 0.1;
         simulation.run(seconds(3));
         for (const std::uint8_t step : steps) {
-            const HostId one("h" + std::to_string(step % 5 + 1));
-            const HostId other("h" + std::to_string(step / 5 % 5 + 1));
-            if (step % 4 == 0) {
-                simulation.m_partitions.insert({one, other});
-            } else if (step % 4 == 1) {
-                simulation.m_partitions.clear();
-            } else if (simulation.m_hosts.contains(one)) {
-                simulation.stop(one);
-            } else {
-                simulation.start(one);
-            }
-            simulation.run(milliseconds(100 + step * 10));
+            playStep(simulation, step);
         }
         RC_ASSERT(simulation.m_maxLeasedShare <= 1.0 + 0.5 + 1e-9);
     });
 }
 
+// Guards against hosts that take themselves for the only ones: 27 of 48 hosts restarted without the table of hosts, and each handed out the whole of each
+// limit.
+TEST_CASE("regression: a host that hasn't read the table of the hosts took the whole of each limit")
+{
+    HeartbeatSimulation simulation(5);
+    simulation.run(seconds(3));
+    for (const char *name : {"h1", "h2", "h3"}) {
+        const HostId id(name);
+        simulation.startWithoutTable(id);
+        CHECK(shareOf(simulation.m_hosts[id], simulation.clockOf(id)) == 0.0);
+    }
+    simulation.run(seconds(5));
+    CHECK(simulation.sumOfShares() <= 1.0 + Tolerance);
+    for (const char *name : {"h1", "h2", "h3"}) {
+        simulation.readTable(HostId(name));
+    }
+    simulation.run(seconds(5));
+    CHECK(simulation.sumOfShares() == Approx(1.0));
+}
+
+TEST_CASE("the shares of all leaders")
+{
+    // A leader that is lost or cut off holds what was leased to it until the leases are over, see docs/limits.md.
+    rc::prop("add up to at most the whole two leases after hosts restarted, lost the table of hosts, or were cut off",
+             [](const std::vector<std::uint8_t> &steps, std::uint8_t lossStep) {
+                 HeartbeatSimulation simulation(5);
+                 simulation.m_lossProbability = (lossStep % 5) * 0.1;
+                 simulation.run(seconds(3));
+                 for (const std::uint8_t step : steps) {
+                     playStep(simulation, step);
+                 }
+                 simulation.startWithoutTable(HostId("h" + std::to_string(lossStep % 5 + 1)));
+                 simulation.run(2 * LeadershipSettings().m_leaseDuration);
+                 RC_ASSERT(simulation.sumOfShares() <= 1.0 + Tolerance);
+             });
+}
+
+// Followers use half of their parts by themselves when a leader replies late, although the leader has these parts, too.
+TEST_CASE("the share of a leader and the parts that its followers use by themselves don't exceed the whole", "[known-red]")
+{
+    HeartbeatSimulation simulation(5);
+    simulation.run(seconds(3));
+    CHECK(simulation.sumOfAllShares() <= 1.0 + Tolerance);
+}
+
 TEST_CASE("regression: heartbeats that a leader sends unasked don't keep its followers from renewing their leases")
 {
     // Each heartbeat of the leader postponed the next one of its follower. A leader that reported something to all followers several times in a row lost all
