Spread the retry times of all refused callers, and give tokens by priority

What callers saw: all callers for whom no token was left within a second were told to come back after exactly a second, so those refused together came back together. Within a workspace a less urgent request that waited for a token got it before a more urgent one that came later.

Change: assignRetryDelay() spreads the callers beyond the tokens of the longest delay over its second half. Placements that wait for a token are ordered by priority, then by arrival; those that would be late with one are refused wherever they wait.

--- a/include/ragwortrelay/limits/tokenbucket.h
+++ b/include/ragwortrelay/limits/tokenbucket.h
@@ -41,8 +41,8 @@
 /// and empty if none will ever be. Precondition: the bucket was refilled at the present time. Thread-safe on a bucket that does not change.
 std::optional<Duration> timeUntilToken(const TokenBucket &bucket, std::size_t waitersAhead = 0);
 
-/// Returns the delay after which a rejected caller should retry, at most `maxDelay`; empty if no token will ever be available. Consecutive
-/// callers get delays that are one token apart, so that they do not all retry at once and compete for one token.
+/// Returns the delay after which a rejected caller should retry, at most `maxDelay`; empty if no token will ever be available. Consecutive callers get
+/// delays that are one token apart, so that they don't compete for one; those without a token in that time are spread over its second half.
 std::optional<Duration> assignRetryDelay(TokenBucket &bucket, Duration maxDelay, TimePoint now);
 
 }
--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -79,7 +79,7 @@
     TimePoint m_lastExpiryAt{}; ///< Last removal of expired crash suspects and idle connections.
     std::map<Dispatch::Fingerprint, TimePoint> m_quarantined; ///< Requests quarantined by another host, with the end of their quarantine.
     std::map<ServiceId, RetryBudget> m_budgets;
-    std::map<WorkspaceId, std::deque<QueuedPlacement>> m_awaitingTokens; ///< Placements of workspaces without tokens, in order of arrival.
+    std::map<WorkspaceId, std::deque<QueuedPlacement>> m_awaitingTokens; ///< Placements of workspaces without tokens, by priority and arrival.
     std::map<ServiceId, PlacementQueue> m_queues;
     std::map<PlacementId, GrantedPlacement> m_granted;
     std::map<HostId, FailureDomainId> m_hostDomains; ///< Failure domains of the hosts that have sent placement requests or reports.
--- a/src/limits/tokenbucket.cpp
+++ b/src/limits/tokenbucket.cpp
@@ -10,6 +10,10 @@
 /// Smallest burst of a whole limit, in tokens. A smaller one would admit no request.
 constexpr double MinBurst = 1.0;
 
+/// Part of the longest retry delay by which the range of the last ones is shorter than half of it, so that the interval between tokens isn't a divisor of the
+/// range.
+constexpr int SpreadOffset = 64;
+
 /// Returns the bucket's share of the burst, in tokens.
 double burstOf(const TokenBucket &bucket)
 {
@@ -96,7 +100,12 @@
     if (!wait || !interval) {
         return std::nullopt;
     }
-    bucket.m_lastRetryAt = std::min(now + maxDelay, std::max(now + *wait, bucket.m_lastRetryAt + *interval));
+    TimePoint next = std::max(now + *wait, bucket.m_lastRetryAt + *interval);
+    if (next > now + maxDelay) { // There are more callers than tokens in that time. The further ones are spread over its second half.
+        const Duration range = maxDelay / 2 - maxDelay / SpreadOffset;
+        next = now + maxDelay / 2 + (next - (now + maxDelay / 2)) % range;
+    }
+    bucket.m_lastRetryAt = next;
     return bucket.m_lastRetryAt - now;
 }
 
--- a/src/scheduling/tokens.cpp
+++ b/src/scheduling/tokens.cpp
@@ -15,6 +15,17 @@
     return std::min(scheduler.m_settings.m_maxTokenWait, allowed);
 }
 
+/// Returns the number of placements that get a token of the workspace before this one: those of the same or a higher priority that wait already.
+std::size_t countAhead(const Scheduler &scheduler, const PlacementRequest &placement)
+{
+    const auto waiting = scheduler.m_awaitingTokens.find(placement.m_workspace);
+    if (waiting == scheduler.m_awaitingTokens.end()) {
+        return 0;
+    }
+    const auto isAhead = [&](const QueuedPlacement &entry) { return entry.m_placement.m_priority <= placement.m_priority; };
+    return static_cast<std::size_t>(std::ranges::count_if(waiting->second, isAhead));
+}
+
 /// Returns a placement that has waited, with its remaining times updated.
 PlacementRequest withRemainingTime(const QueuedPlacement &entry, TimePoint now)
 {
@@ -32,8 +43,7 @@
     if (placement.m_purpose != AttemptKind::First || bucket == scheduler.m_buckets.end()) {
         return LimitOutcome::Passed;
     }
-    const auto waiting = scheduler.m_awaitingTokens.find(placement.m_workspace);
-    const std::size_t ahead = waiting == scheduler.m_awaitingTokens.end() ? 0 : waiting->second.size();
+    const std::size_t ahead = countAhead(scheduler, placement);
     if (ahead == 0 && Limits::takeToken(bucket->second, now)) {
         return LimitOutcome::Passed;
     }
@@ -42,7 +52,8 @@
     if (!wait || *wait > maxTokenWait(scheduler, placement)) {
         return LimitOutcome::Refused;
     }
-    scheduler.m_awaitingTokens[placement.m_workspace].push_back(makeQueuedPlacement(placement, requester, 0.0, now));
+    auto &waiting = scheduler.m_awaitingTokens[placement.m_workspace];
+    waiting.insert(waiting.begin() + static_cast<std::ptrdiff_t>(ahead), makeQueuedPlacement(placement, requester, 0.0, now));
     return LimitOutcome::Waits;
 }
 
@@ -53,10 +64,30 @@
     return refusal(placement, RefusalReason::OverLimit, wait.value_or(MaxRetryAfter));
 }
 
+namespace {
+
+/// Refuses the waiting placements that would be too late with a token. Those of a low priority may have others before them that came later.
+void refuseLate(Scheduler &scheduler, std::deque<QueuedPlacement> &waiting, TimePoint now, std::vector<AddressedReply> &responses)
+{
+    std::erase_if(waiting, [&](const QueuedPlacement &entry) {
+        const PlacementRequest placement = withRemainingTime(entry, now);
+        const bool isLate = placement.m_timeLeft < usualTimeOf(scheduler, placement.m_service) / 2;
+        if (isLate) {
+            responses.push_back({entry.m_requester.m_host, refuseOverLimit(scheduler, placement, now)});
+        }
+        return isLate;
+    });
+}
+
+}
+
 void serveTokens(Scheduler &scheduler, RandomGenerator &random, TimePoint now, std::vector<AddressedReply> &responses)
 {
     for (auto &[workspace, waiting] : scheduler.m_awaitingTokens) {
         const auto bucket = scheduler.m_buckets.find(workspace);
+        if (bucket != scheduler.m_buckets.end()) {
+            refuseLate(scheduler, waiting, now, responses);
+        }
         while (!waiting.empty()) {
             const QueuedPlacement entry = waiting.front();
             const PlacementRequest placement = withRemainingTime(entry, now);
@@ -65,13 +96,11 @@
                 responses.push_back({entry.m_requester.m_host, refuseEvacuated(placement)});
                 continue;
             }
-            const bool isLate = placement.m_timeLeft < usualTimeOf(scheduler, placement.m_service) / 2;
-            if (!isLate && bucket != scheduler.m_buckets.end() && !Limits::takeToken(bucket->second, now)) {
+            if (bucket != scheduler.m_buckets.end() && !Limits::takeToken(bucket->second, now)) {
                 break;
             }
             waiting.pop_front();
-            const auto response = isLate && bucket != scheduler.m_buckets.end() ? refuseOverLimit(scheduler, placement, now)
-                                                                                : placeOrEnqueue(scheduler, placement, entry.m_requester, random, now);
+            const auto response = placeOrEnqueue(scheduler, placement, entry.m_requester, random, now);
             if (response) {
                 responses.push_back({entry.m_requester.m_host, *response});
             }
--- a/tests/limits/tokenbucket.cpp
+++ b/tests/limits/tokenbucket.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <map>
+
 using namespace RagwortRelay;
 using namespace RagwortRelay::Limits;
 using std::chrono::milliseconds;
@@ -74,6 +76,21 @@
     CHECK(assignRetryDelay(bucket, seconds(1), Start + seconds(60)) == milliseconds(0));
 }
 
+TEST_CASE("regression: callers for whom no token was left were told to retry at the same time")
+{
+    // All callers after the tokens of the longest delay got that delay, and those refused together came back together.
+    const double rate = GENERATE(10.0, 0.5);
+    TokenBucket bucket = makeBucket(rate, 20.0, 1.0);
+    std::map<Duration, int> callers;
+    for (int i = 0; i < 200; ++i) {
+        ++callers[assignRetryDelay(bucket, seconds(1), Start).value_or(seconds(1))];
+    }
+    for (const auto &[delay, count] : callers) {
+        CHECK(count <= 200 / 10);
+        CHECK(delay <= seconds(1));
+    }
+}
+
 namespace {
 
 /// Buckets of one limit on many hosts, each with an equal share, and times at which a request was admitted.
--- a/tests/scheduling/scheduler.cpp
+++ b/tests/scheduling/scheduler.cpp
@@ -36,7 +36,7 @@
         m_now += seconds(1); // Fills the bucket.
     }
 
-    std::optional<PlacementReply> requestPlacement(Duration objective = seconds(2))
+    std::optional<PlacementReply> requestPlacement(Duration objective = seconds(2), std::uint32_t priority = 0)
     {
         PlacementRequest placement;
         placement.m_number = ++m_lastNumber;
@@ -44,6 +44,7 @@
         placement.m_workspace = Hotel;
         placement.m_timeLeft = seconds(3);
         placement.m_objectiveLeft = objective;
+        placement.m_priority = priority;
         return Scheduling::placement(m_scheduler, placement, Self, m_random, m_now);
     }
 
@@ -115,6 +116,20 @@
         CHECK(granted <= 101); // 10 s at 10 requests a second, and the burst.
         CHECK(granted >= 99);
     }
+    SECTION("regression: a more urgent one got its token after less urgent ones of its workspace")
+    {
+        CHECK_FALSE(scheduling.requestPlacement(seconds(2), 1)); // Number 2.
+        CHECK_FALSE(scheduling.requestPlacement(seconds(2), 1));
+        CHECK_FALSE(scheduling.requestPlacement(seconds(2), 0)); // Number 4.
+        CHECK_FALSE(scheduling.requestPlacement(seconds(2), 0));
+        std::vector<std::uint64_t> order;
+        for (int i = 0; i < 50; ++i) {
+            for (const AddressedReply &reply : scheduling.serveAfter(milliseconds(20))) {
+                order.push_back(reply.m_response.m_number);
+            }
+        }
+        CHECK(order == std::vector<std::uint64_t>{4, 5, 2, 3});
+    }
     SECTION("takes no token after it was cancelled")
     {
         CHECK_FALSE(scheduling.requestPlacement());
