--- a/include/ragwortrelay/scheduling/serverregistry.h
+++ b/include/ragwortrelay/scheduling/serverregistry.h
@@ -6,8 +6,8 @@
 #include <ragwortrelay/core/time.h>
 #include <ragwortrelay/health/suspicion.h>
 #include <ragwortrelay/scheduling/placementrequest.h>
-#include <ragwortrelay/scheduling/warmuplimit.h>
 #include <ragwortrelay/scheduling/spillover.h>
+#include <ragwortrelay/scheduling/warmuplimit.h>
 
 #include <tl/expected.hpp>
 
