--- a/tests/scheduling/serverregistry.cpp
+++ b/tests/scheduling/serverregistry.cpp
@@ -282,6 +282,14 @@
     }
 }
 
+TEST_CASE("regression: a service with few requests for each server uses most of its servers")
+{
+    // A service to which a route had just returned got 16 requests a second for 25 servers, and used 8 of them within two seconds.
+    const std::size_t minUsed =
+        minServersUsed({25, 1500, milliseconds(62), false}, [](std::uint64_t i, const ServerId &server) { return reportOf(i, server, AttemptEnd::Succeeded); });
+    CHECK(static_cast<double>(minUsed) >= 0.7 * 25);
+}
+
 TEST_CASE("regression: a service that refuses many requests leaves few servers unused")
 {
     // Only attempts were counted, so that a service that had to refuse requests didn't count as failing.
