Compare numbers, not versions with eras, in the watches of the fake store

Two parts that were merged met here: versions got an era, and a watch that has seen all versions skips the rows. After a restore the fake told no changes. The store test failed (falsifiable after 58 tests); test code only.

--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -187,7 +187,7 @@
     [[nodiscard]] std::vector<Store::Row> changes(const Store::WatchTable &call) const
     {
         std::vector<Store::Row> rows;
-        if (call.m_after >= m_version) {
+        if (Store::numberOf(call.m_after) >= m_version) {
             return rows;
         }
         for (const auto &[key, row] : m_rows) {
