Use one function for the remaining times of placements that wait

The queue for slots set the remaining time to the objective by hand, beside withRemainingTime() of the queue for tokens, which is shared now. Server selection doesn't read the time to the deadline, which it updates too, so behaviour stays as it is. All tests of scheduling pass in the release build; nothing else was run on this commit.

--- a/include/ragwortrelay/detail/scheduling/placement.h
+++ b/include/ragwortrelay/detail/scheduling/placement.h
@@ -24,6 +24,9 @@
 /// Returns the queue entry of a placement that has to wait. Thread-safe.
 QueuedPlacement makeQueuedPlacement(const PlacementRequest &placement, const Requester &requester, double startTag, TimePoint now);
 
+/// Returns the request of a placement that has waited, with its remaining times updated. Thread-safe.
+PlacementRequest withRemainingTime(const QueuedPlacement &entry, TimePoint now);
+
 /// Returns the id of a queued placement.
 PlacementId idOf(const QueuedPlacement &entry);
 
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -78,6 +78,14 @@
     return {placement, requester, now, now + placement.m_timeLeft, now + placement.m_objectiveLeft, startTag};
 }
 
+PlacementRequest withRemainingTime(const QueuedPlacement &entry, TimePoint now)
+{
+    PlacementRequest placement = entry.m_placement;
+    placement.m_timeLeft = entry.m_deadline - now;
+    placement.m_objectiveLeft = entry.m_objectiveDeadline - now;
+    return placement;
+}
+
 PlacementId idOf(const QueuedPlacement &entry)
 {
     return {entry.m_requester.m_host, entry.m_placement.m_number};
--- a/src/scheduling/queueing.cpp
+++ b/src/scheduling/queueing.cpp
@@ -132,8 +132,7 @@
             blocked.insert(idOf(*entry));
             continue;
         }
-        PlacementRequest placement = entry->m_placement;
-        placement.m_objectiveLeft = entry->m_objectiveDeadline - now;
+        const PlacementRequest placement = withRemainingTime(*entry, now);
         const auto server = selectServer(scheduler.m_registry, scheduler.m_settings.m_selection, placement, entry->m_requester, random, now);
         if (server) {
             responses.push_back({entry->m_requester.m_host, grant(scheduler, entry->m_placement, *server, entry->m_requester, now)});
--- a/src/scheduling/tokens.cpp
+++ b/src/scheduling/tokens.cpp
@@ -26,15 +26,6 @@
     return static_cast<std::size_t>(std::ranges::count_if(waiting->second, isAhead));
 }
 
-/// Returns a placement that has waited, with its remaining times updated.
-PlacementRequest withRemainingTime(const QueuedPlacement &entry, TimePoint now)
-{
-    PlacementRequest placement = entry.m_placement;
-    placement.m_timeLeft = entry.m_deadline - now;
-    placement.m_objectiveLeft = entry.m_objectiveDeadline - now;
-    return placement;
-}
-
 }
 
 LimitOutcome takeWorkspaceToken(Scheduler &scheduler, const PlacementRequest &placement, const Requester &requester, TimePoint now)
