Bound the selections that one event causes in the queue of a service

Callers saw: in a surge of one workspace on 123 hosts the leader's queue of a service grew to its bound and the servers ran a third of what they ran before. Each end of an attempt made the leader search a server for up to 8 waiting placements that found none, 64 with a price between failure domains, although it freed no slot that could help them: a server that fails at once always has free slots. Cancellations and requests looked through the whole queue, and copied the name of a host for each entry.

Queued placements are grouped by what the selection distinguishes (failure domain, trial or not, size where a price depends on it, excluded servers). When no server is found for one of a class, the class is blocked until a server that was full gets a free slot, or for 20 ms. Such a server is a candidate even if the sample of a large service misses it. Whether a placement waits is looked up by its id; expired ones are searched only when the earliest deadline has come. The order of service is as before. The gauge server_selections counts the searches.

--- a/include/ragwortrelay/detail/scheduling/placement.h
+++ b/include/ragwortrelay/detail/scheduling/placement.h
@@ -27,9 +27,6 @@
 /// Returns the request of a placement that has waited, with its remaining times updated. Thread-safe.
 PlacementRequest withRemainingTime(const QueuedPlacement &entry, TimePoint now);
 
-/// Returns the id of a queued placement.
-PlacementId idOf(const QueuedPlacement &entry);
-
 /// Returns how much longer a request is quarantined for crashing servers; nothing if it isn't.
 std::optional<Duration> quarantineRemaining(const Scheduler &scheduler, const PlacementRequest &placement, TimePoint now);
 
--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -5,6 +5,7 @@
 #include <ragwortrelay/core/time.h>
 #include <ragwortrelay/dispatch/crashsuspects.h>
 #include <ragwortrelay/limits/tokenbucket.h>
+#include <ragwortrelay/scheduling/placementqueue.h>
 #include <ragwortrelay/scheduling/placementrequest.h>
 #include <ragwortrelay/scheduling/retrybudget.h>
 #include <ragwortrelay/scheduling/serverregistry.h>
@@ -32,25 +33,6 @@
     friend bool operator==(const SchedulerSettings &, const SchedulerSettings &) = default;
 };
 
-/// Placement that waits for a token or a slot.
-struct QueuedPlacement {
-    PlacementRequest m_placement;
-    Requester m_requester;
-    TimePoint m_arrivedAt;
-    TimePoint m_deadline; ///< Deadline of the request. An attempt that would end later is refused.
-    TimePoint m_objectiveDeadline;
-    double m_startTag = 0.0; ///< Virtual time at which fair queueing starts the placement.
-};
-
-/// Placements queued for one service. Workspaces of the same priority share the slots by weight (start-time fair queueing).
-/// Source: P. Goyal, H. Vin, H. Cheng, Start-time fair queueing, IEEE/ACM Transactions on Networking 5 (1997).
-struct PlacementQueue {
-    std::deque<QueuedPlacement> m_placements; ///< Queued placements, sorted by priority and then by start tag.
-    std::map<WorkspaceId, double> m_finishTags; ///< Lower bound on the start tag of each workspace's next placement.
-    double m_virtualTime = 0.0; ///< Greatest start tag of the placements served so far.
-    TimePoint m_nextCheckAt{}; ///< Time of the next check; nothing that the queue waits for happens earlier.
-};
-
 /// Placement that was granted a server and runs.
 struct GrantedPlacement {
     ServerId m_server;
@@ -81,6 +63,8 @@
     std::map<ServiceId, RetryBudget> m_budgets;
     std::map<WorkspaceId, std::deque<QueuedPlacement>> m_awaitingTokens; ///< Placements of workspaces without tokens, by priority and arrival.
     std::map<ServiceId, PlacementQueue> m_queues;
+    std::set<PlacementId> m_waiting; ///< Placements in m_awaitingTokens and m_queues.
+    std::uint64_t m_selections = 0; ///< Number of times that a server was selected or searched for.
     std::map<PlacementId, GrantedPlacement> m_granted;
     std::map<HostId, FailureDomainId> m_hostDomains; ///< Failure domains of the hosts that have sent placement requests or reports.
     std::uint64_t m_phaseSeed = 0; ///< Seed of the phases of the token buckets; differs between hosts.
@@ -115,11 +99,11 @@
 std::optional<PlacementReply>
 placement(Scheduler &scheduler, const PlacementRequest &placement, const Requester &requester, RandomGenerator &random, TimePoint now);
 
-/// Removes a placement that waits for a token or a slot. Granted placements are not affected.
+/// Removes a placement that waits for a token or a slot. Granted placements are not affected. Linear in the waiting placements if it is one of them.
 void cancel(Scheduler &scheduler, const PlacementId &id);
 
-/// Tells whether a placement waits for a token or a slot. Linear in the placements queued for its service or waiting for tokens.
-bool isQueued(const Scheduler &scheduler, const ServiceId &service, const PlacementId &id);
+/// Tells whether a placement waits for a token or a slot.
+bool isQueued(const Scheduler &scheduler, const PlacementId &id);
 
 /// Removes the placements granted to a host before a point in time that don't run there.
 /// @param running numbers of the placements that run on the host
--- a/include/ragwortrelay/scheduling/serverregistry.h
+++ b/include/ragwortrelay/scheduling/serverregistry.h
@@ -203,12 +203,14 @@
 
 /// Selects the server with the lowest cost among those with a free slot. Servers that are due for a trial request or have been
 /// unused for too long go first. Linear in the candidates.
+/// @param freed servers of the service that have just got a free slot, which a sample of a large service could miss
 tl::expected<ServerId, SelectionFailure> selectServer(const ServerRegistry &registry,
                                                       const ServerSelectionSettings &settings,
                                                       const PlacementRequest &placement,
                                                       const Requester &requester,
                                                       RandomGenerator &random,
-                                                      TimePoint now);
+                                                      TimePoint now,
+                                                      const std::vector<ServerId> &freed = {});
 
 /// Records the arrival of a request in the demand of its host's failure domain, if a price is set. Linear in the servers of the service, at most
 /// once per SpilloverSettings::m_capacityCheckInterval.
--- a/src/host/metrics.cpp
+++ b/src/host/metrics.cpp
@@ -45,7 +45,7 @@
 {
     std::size_t count = 0;
     for (const auto &[service, queue] : scheduler.m_queues) {
-        count += queue.m_placements.size();
+        count += queue.m_size;
     }
     return count;
 }
@@ -59,6 +59,7 @@
     gauges["hosts_registered"] = static_cast<double>(state.m_membership.size());
     gauges["requests_in_flight"] = static_cast<double>(state.m_exchanges.size());
     gauges["draws_waiting"] = static_cast<double>(waitingPlacements(state.m_scheduler));
+    gauges["server_selections"] = static_cast<double>(state.m_scheduler.m_selections);
     gauges["limits_share"] = state.m_scheduler.m_share;
     gauges["crash_suspects"] = static_cast<double>(state.m_scheduler.m_suspects.m_crashes.size());
     gauges["crash_candidates"] = static_cast<double>(state.m_scheduler.m_suspects.m_candidates.size());
--- a/src/host/placements.cpp
+++ b/src/host/placements.cpp
@@ -64,7 +64,7 @@
             .with("reason", reason)
             .with("service", placement.m_service.text())
             .with("workspace", placement.m_workspace.text())
-            .with("waiting", queue == state.m_scheduler.m_queues.end() ? 0 : static_cast<std::int64_t>(queue->second.m_placements.size()))
+            .with("waiting", queue == state.m_scheduler.m_queues.end() ? 0 : static_cast<std::int64_t>(queue->second.m_size))
             .with("awaiting_token", static_cast<std::int64_t>(waiting == state.m_scheduler.m_awaitingTokens.end() ? 0 : waiting->second.size()))
             .with("tokens_per_mille", bucket == state.m_scheduler.m_buckets.end() ? -1 : static_cast<std::int64_t>(bucket->second.m_tokens * PerMille))
             .with("limits_share_per_mille", static_cast<std::int64_t>(state.m_scheduler.m_share * PerMille))
@@ -302,7 +302,7 @@
     std::optional<PlacementReply> reply;
     if (granted != state.m_scheduler.m_granted.end()) {
         reply = PlacementReply{placement.m_number, granted->second.m_server, {}, {}, {}};
-    } else if (!Scheduling::isQueued(state.m_scheduler, placement.m_service, id)) {
+    } else if (!Scheduling::isQueued(state.m_scheduler, id)) {
         reply = Scheduling::placement(state.m_scheduler, placement, requesterOf(state, from), state.m_random, now);
         logPlacement(state, from, placement, reply, now, actions);
     }
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -86,11 +86,6 @@
     return placement;
 }
 
-PlacementId idOf(const QueuedPlacement &entry)
-{
-    return {entry.m_requester.m_host, entry.m_placement.m_number};
-}
-
 std::optional<Duration> quarantineRemaining(const Scheduler &scheduler, const PlacementRequest &placement, TimePoint now)
 {
     constexpr Duration TrialRetryAfter = std::chrono::seconds(1); // While another attempt shows whether the request crashes a server.
@@ -123,11 +118,9 @@
     }
     const PlacementQueue &queue = scheduler.m_queues[placement.m_service];
     const bool hasPrice = hasSpilloverPrice(scheduler.m_settings.m_selection, requester);
-    const bool hasPredecessors = std::ranges::any_of(queue.m_placements, [&](const QueuedPlacement &other) {
-        const bool competes = !hasPrice || other.m_requester.m_domain == requester.m_domain; // Others may wait for servers of their own failure domain.
-        return competes && other.m_placement.m_priority <= placement.m_priority;
-    });
-    if (!hasPredecessors && !awaitsReports(scheduler, placement, now)) {
+    const auto competing = hasPrice ? std::optional(requester.m_domain) : std::nullopt; // Others may wait for servers of their own failure domain.
+    if (!hasPredecessors(queue, placement.m_priority, competing) && !awaitsReports(scheduler, placement, now)) {
+        ++scheduler.m_selections;
         const auto server = selectServer(scheduler.m_registry, scheduler.m_settings.m_selection, placement, requester, random, now);
         if (server) {
             return grant(scheduler, placement, *server, requester, now);
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -1,5 +1,6 @@
 #include <ragwortrelay/core/hash.h>
 #include <ragwortrelay/detail/scheduling/placement.h>
+#include <ragwortrelay/detail/scheduling/servers.h>
 
 #include <algorithm>
 #include <cmath>
@@ -12,8 +13,8 @@
 
 using namespace detail;
 
-/// Interval between checks of waiting placements. Tokens accrue and servers that shed requests become available again without an event.
-constexpr Duration QueueInterval = std::chrono::milliseconds(20);
+/// Interval between checks of the placements that wait for tokens, which accrue without an event.
+constexpr Duration TokenCheckInterval = std::chrono::milliseconds(20);
 
 /// Returns the sign of a crash in an attempt that may have crashed its server.
 Dispatch::CrashSign signOf(AttemptEnd end)
@@ -169,21 +170,21 @@
 
 void cancel(Scheduler &scheduler, const PlacementId &id)
 {
+    if (scheduler.m_waiting.erase(id) == 0) {
+        return;
+    }
     const auto hasId = [&](const QueuedPlacement &entry) { return idOf(entry) == id; };
     for (auto &[service, queue] : scheduler.m_queues) {
-        std::erase_if(queue.m_placements, hasId);
+        (void)extractIf(queue, hasId);
     }
     for (auto &[workspace, waiting] : scheduler.m_awaitingTokens) {
         std::erase_if(waiting, hasId);
     }
 }
 
-bool isQueued(const Scheduler &scheduler, const ServiceId &service, const PlacementId &id)
+bool isQueued(const Scheduler &scheduler, const PlacementId &id)
 {
-    const auto hasId = [&](const QueuedPlacement &entry) { return idOf(entry) == id; };
-    const auto queue = scheduler.m_queues.find(service);
-    const bool awaitsSlot = queue != scheduler.m_queues.end() && std::ranges::any_of(queue->second.m_placements, hasId);
-    return awaitsSlot || std::ranges::any_of(scheduler.m_awaitingTokens, [&](const auto &entry) { return std::ranges::any_of(entry.second, hasId); });
+    return scheduler.m_waiting.contains(id);
 }
 
 void reconcile(Scheduler &scheduler, const HostId &host, const std::vector<std::uint64_t> &running, TimePoint startedBefore)
@@ -240,11 +241,16 @@
     }
     recordRequestOutcome(scheduler, report, fingerprint, requester, now);
     scheduler.m_hostDomains[requester.m_host] = requester.m_domain;
-    endAttempt(scheduler.m_registry, scheduler.m_settings.m_selection, report, requester, now);
     const auto server = scheduler.m_registry.m_servers.find(report.m_server);
-    const auto queue = server == scheduler.m_registry.m_servers.end() ? scheduler.m_queues.end() : scheduler.m_queues.find(server->second.m_server.m_service);
-    if (queue != scheduler.m_queues.end()) {
-        queue->second.m_nextCheckAt = now; // A slot has become free.
+    const bool wasFull = server != scheduler.m_registry.m_servers.end() && !detail::hasFreeSlot(server->second, now);
+    endAttempt(scheduler.m_registry, scheduler.m_settings.m_selection, report, requester, now);
+    if (!wasFull || !detail::hasFreeSlot(server->second, now)) {
+        return; // Placements that wait were not helped by a free slot of this server before.
+    }
+    const auto queue = scheduler.m_queues.find(server->second.m_server.m_service);
+    if (queue != scheduler.m_queues.end() && queue->second.m_size > 0) {
+        const bool hasPrice = isEnabled(scheduler.m_settings.m_selection.m_spillover);
+        noteFreedSlot(queue->second, report.m_server, hasPrice ? std::optional(server->second.m_server.m_domain) : std::nullopt, now);
     }
 }
 
@@ -256,13 +262,13 @@
         recordOverdueAttempts(scheduler.m_registry, scheduler.m_settings.m_selection, scheduler.m_hostDomains, now);
     }
     if (now >= scheduler.m_nextTokenCheckAt) {
-        scheduler.m_nextTokenCheckAt = now + QueueInterval;
+        scheduler.m_nextTokenCheckAt = now + TokenCheckInterval;
         serveTokens(scheduler, random, now, responses);
     }
     for (auto &[service, queue] : scheduler.m_queues) {
-        if (!queue.m_placements.empty() && now >= queue.m_nextCheckAt) {
-            queue.m_nextCheckAt = now + QueueInterval;
+        if (queue.m_size > 0 && now >= queue.m_nextCheckAt) {
             serveQueue(scheduler, service, queue, random, now, responses);
+            queue.m_nextCheckAt = queue.m_nextFullCheckAt;
         }
     }
     return responses;
@@ -278,7 +284,7 @@
 {
     TimePoint next = scheduler.m_awaitingTokens.empty() ? TimePoint::max() : scheduler.m_nextTokenCheckAt;
     for (const auto &[service, queue] : scheduler.m_queues) {
-        next = queue.m_placements.empty() ? next : std::min(next, queue.m_nextCheckAt);
+        next = queue.m_size == 0 ? next : std::min(next, queue.m_nextCheckAt);
     }
     return scheduler.m_granted.empty() ? next : std::min(next, scheduler.m_overdueCheckedAt + scheduler.m_settings.m_overdueCheckInterval);
 }
--- a/src/scheduling/selection.cpp
+++ b/src/scheduling/selection.cpp
@@ -117,14 +117,16 @@
 }
 
 /// Returns the usable servers to select from: all of a small service; of a large one, a run of the list from a random start, plus the servers
-/// to which the host is connected. With a price, some free servers of the host's own failure domain are added; that is linear in the servers.
+/// to which the host is connected and those that have just got a free slot. With a price, some free servers of the host's own failure domain are
+/// added; that is linear in the servers.
 std::vector<Candidate> candidatesOf(const ServerRegistry &registry,
                                     const ServerSelectionSettings &settings,
                                     const ServiceState &service,
                                     const PlacementRequest &placement,
                                     const Requester &requester,
                                     RandomGenerator &random,
-                                    TimePoint now)
+                                    TimePoint now,
+                                    const std::vector<ServerId> &freed)
 {
     const std::size_t count = service.m_servers.size();
     const std::size_t start = count > settings.m_maxCandidates ? randomBelow(random, count) : 0;
@@ -166,6 +168,14 @@
     for (const ServerId &id : connected) {
         add(id, true);
     }
+    const auto isCandidate = [&](const ServerId &id) {
+        return std::ranges::any_of(candidates, [&](const Candidate &candidate) { return candidate.m_state->m_server.m_id == id; });
+    };
+    for (const ServerId &id : freed) {
+        if (!isCandidate(id)) {
+            add(id, false);
+        }
+    }
     return candidates;
 }
 
@@ -401,13 +411,14 @@
                                                       const PlacementRequest &placement,
                                                       const Requester &requester,
                                                       RandomGenerator &random,
-                                                      TimePoint now)
+                                                      TimePoint now,
+                                                      const std::vector<ServerId> &freed)
 {
     const auto service = registry.m_services.find(placement.m_service);
     if (service == registry.m_services.end()) {
         return tl::unexpected(SelectionFailure::NoServer);
     }
-    std::vector<Candidate> candidates = candidatesOf(registry, settings, service->second, placement, requester, random, now);
+    std::vector<Candidate> candidates = candidatesOf(registry, settings, service->second, placement, requester, random, now, freed);
     const std::size_t usable = candidates.size();
     if (const Candidate *unused = selectUnused(settings, candidates, service->second, placement, requester, now)) {
         return unused->m_state->m_server.m_id;
--- a/src/scheduling/tokens.cpp
+++ b/src/scheduling/tokens.cpp
@@ -45,6 +45,7 @@
     }
     auto &waiting = scheduler.m_awaitingTokens[placement.m_workspace];
     waiting.insert(waiting.begin() + static_cast<std::ptrdiff_t>(ahead), makeQueuedPlacement(placement, requester, 0.0, now));
+    scheduler.m_waiting.insert({requester.m_host, placement.m_number});
     return LimitOutcome::Waits;
 }
 
@@ -64,6 +65,7 @@
         const PlacementRequest placement = withRemainingTime(entry, now);
         const bool isLate = placement.m_timeLeft < usualTimeOf(scheduler, placement.m_service) / 2;
         if (isLate) {
+            scheduler.m_waiting.erase(idOf(entry));
             responses.push_back({entry.m_requester.m_host, refuseOverLimit(scheduler, placement, now)});
         }
         return isLate;
@@ -84,6 +86,7 @@
             const PlacementRequest placement = withRemainingTime(entry, now);
             if (isServiceEvacuated(scheduler.m_registry, placement.m_service, now)) {
                 waiting.pop_front();
+                scheduler.m_waiting.erase(idOf(entry));
                 responses.push_back({entry.m_requester.m_host, refuseEvacuated(placement)});
                 continue;
             }
@@ -91,6 +94,7 @@
                 break;
             }
             waiting.pop_front();
+            scheduler.m_waiting.erase(idOf(entry));
             const auto response = placeOrEnqueue(scheduler, placement, entry.m_requester, random, now);
             if (response) {
                 responses.push_back({entry.m_requester.m_host, *response});
--- a/tests/scheduling/scheduler.cpp
+++ b/tests/scheduling/scheduler.cpp
@@ -77,7 +77,7 @@
     SECTION("waits for a token that becomes available soon")
     {
         CHECK_FALSE(scheduling.requestPlacement());
-        CHECK(isQueued(scheduling.m_scheduler, Desk, {Self.m_host, 2}));
+        CHECK(isQueued(scheduling.m_scheduler, {Self.m_host, 2}));
         CHECK(scheduling.serveAfter(milliseconds(60)).empty());
         const auto responses = scheduling.serveAfter(milliseconds(60));
         REQUIRE(responses.size() == 1);
