Drop placement requests whose hosts have decided by themselves

Callers saw: while the leader is behind, it takes tokens and slots for requests whose hosts have stopped waiting, so the others are refused although the servers have room.

A placement request now says when it was sent and how long its sender waits. The leader estimates the age of each message from the fastest one of the last seconds (LEDBAT, RFC 6817), so the clocks need no common zero, and a sender whose machine has restarted starts anew. A request that is older than its wait is dropped before it costs a token, a slot or a search; if its workspace has no token, the refusal is still sent, since hosts refuse further requests by it. The counter draws_stale_total and the gauge draw_age_seconds show it.

--- a/include/ragwortrelay/fleet/leadership.h
+++ b/include/ragwortrelay/fleet/leadership.h
@@ -4,6 +4,7 @@
 #include <ragwortrelay/core/random.h>
 #include <ragwortrelay/core/time.h>
 #include <ragwortrelay/fleet/membership.h>
+#include <ragwortrelay/fleet/messageage.h>
 #include <ragwortrelay/fleet/messages.h>
 
 #include <cstddef>
@@ -42,6 +43,7 @@
     TimePoint m_leasedUntil; ///< End of the lease by this host's clock, no later than the end that the follower assumes.
     TimePoint m_heardAt; ///< Time of the last heartbeat from the follower.
     bool m_isRegistered = false; ///< Only registered hosts count, since only their shares add up to the whole limit.
+    MessageAge m_messageAge; ///< Age of the follower's messages when they are read.
 
     friend bool operator==(const Follower &, const Follower &) = default;
 };
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -268,6 +268,7 @@
     TimePoint m_membershipChangedAt{};
     Fleet::Leadership m_leadership;
     Fleet::ReplyTimeout m_leaderTimeout; ///< Reply time of the present leader to placement requests.
+    double m_placementAge = 0.0; ///< Age in seconds of the placement requests of followers when they are read, a moving average.
     double m_resendBudget = 1.0; ///< Placement requests that may be sent again; see PlacementSettings::m_resendRatio.
     std::map<HostId, FollowerTables> m_followerTables;
     std::uint64_t m_minConfigurationVersion =
--- a/include/ragwortrelay/scheduling/placementrequest.h
+++ b/include/ragwortrelay/scheduling/placementrequest.h
@@ -45,6 +45,8 @@
     Duration m_objectiveLeft{}; ///< Time until the latency objective is missed; negative after that.
     std::vector<ServerId> m_excluded; ///< Servers that earlier attempts of the request have tried.
     std::uint64_t m_bodyBytes = 0; ///< Size of the request's body.
+    Duration m_sentAt{}; ///< Time of sending by the sender's clock.
+    Duration m_replyWait{}; ///< Time for which the sender waits for the reply before it decides by itself.
 
     friend bool operator==(const PlacementRequest &, const PlacementRequest &) = default;
 
@@ -61,7 +63,9 @@
                         self.m_timeLeft,
                         self.m_objectiveLeft,
                         self.m_excluded,
-                        self.m_bodyBytes);
+                        self.m_bodyBytes,
+                        self.m_sentAt,
+                        self.m_replyWait);
     }
 };
 
--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -99,6 +99,10 @@
 std::optional<PlacementReply>
 placement(Scheduler &scheduler, const PlacementRequest &placement, const Requester &requester, RandomGenerator &random, TimePoint now);
 
+/// Refuses a placement if its workspace has no token now.
+/// @return the refusal, or nothing if there is a token or no limit
+std::optional<PlacementReply> refuseIfOverLimit(Scheduler &scheduler, const PlacementRequest &placement, TimePoint now);
+
 /// Removes a placement that waits for a token or a slot. Granted placements are not affected. Linear in the waiting placements if it is one of them.
 void cancel(Scheduler &scheduler, const PlacementId &id);
 
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -120,6 +120,7 @@
     follower.m_domain = heartbeat.m_domain;
     follower.m_heardAt = now;
     follower.m_isRegistered = isKnown(leadership, from);
+    recordMessage(follower.m_messageAge, heartbeat.m_sentAt, now);
     const auto writtenAt = writtenAfter(heartbeat);
     if (writtenAt) {
         follower.m_leasedFraction = heartbeat.m_leasedFraction;
--- a/src/host/metrics.cpp
+++ b/src/host/metrics.cpp
@@ -59,6 +59,7 @@
     gauges["hosts_registered"] = static_cast<double>(state.m_membership.size());
     gauges["requests_in_flight"] = static_cast<double>(state.m_exchanges.size());
     gauges["draws_waiting"] = static_cast<double>(waitingPlacements(state.m_scheduler));
+    gauges["draw_age_seconds"] = state.m_placementAge;
     gauges["server_selections"] = static_cast<double>(state.m_scheduler.m_selections);
     gauges["limits_share"] = state.m_scheduler.m_share;
     gauges["crash_suspects"] = static_cast<double>(state.m_scheduler.m_suspects.m_crashes.size());
--- a/src/host/placements.cpp
+++ b/src/host/placements.cpp
@@ -118,24 +118,6 @@
     return std::min(pending.m_decideAt, resendAt);
 }
 
-/// Sends a placement request to the leader, for the first time or again, and schedules the next check.
-void sendToLeader(State &state, PendingPlacement &pending, TimePoint now)
-{
-    ++pending.m_unacknowledged;
-    state.m_timers.emplace(nextCheckAt(state, pending, now), Timer{TimerKind::PlacementRequest, pending.m_placement.m_number});
-    sendTo(state, pending.m_leader, pending.m_placement);
-}
-
-/// Takes a resend from the budget. Returns whether there was one.
-bool takeResend(State &state)
-{
-    if (state.m_resendBudget < 1.0) {
-        return false;
-    }
-    state.m_resendBudget -= 1.0;
-    return true;
-}
-
 /// Returns until when a host waits for a leader that is late, instead of deciding by itself: as long as the request can spare, if the leader is alive and the
 /// host has no token for the request. Its part of the limit is small, and a refusal would be certain.
 /// @return nothing if the host has to decide now
@@ -156,6 +138,36 @@
     return until > now ? std::optional(until) : std::nullopt;
 }
 
+/// Returns how long the host waits for the reply to a placement request that is sent now.
+Duration replyWaitOf(const State &state, const PendingPlacement &pending, TimePoint now)
+{
+    if (pending.m_isQueued) {
+        return state.m_settings.m_placements.m_askInterval * (MaxUnacknowledged + 1);
+    }
+    const TimePoint until = extendedWait(state, pending, now).value_or(pending.m_decideAt);
+    return std::max(until, pending.m_decideAt) - now;
+}
+
+/// Sends a placement request to the leader, for the first time or again, and schedules the next check.
+void sendToLeader(State &state, PendingPlacement &pending, TimePoint now)
+{
+    ++pending.m_unacknowledged;
+    pending.m_placement.m_sentAt = now.time_since_epoch();
+    pending.m_placement.m_replyWait = replyWaitOf(state, pending, now);
+    state.m_timers.emplace(nextCheckAt(state, pending, now), Timer{TimerKind::PlacementRequest, pending.m_placement.m_number});
+    sendTo(state, pending.m_leader, pending.m_placement);
+}
+
+/// Takes a resend from the budget. Returns whether there was one.
+bool takeResend(State &state)
+{
+    if (state.m_resendBudget < 1.0) {
+        return false;
+    }
+    state.m_resendBudget -= 1.0;
+    return true;
+}
+
 /// Goes on waiting for a leader that is late, and counts the time so far as its reply time: it is a lower bound of it.
 void extendWait(State &state, PendingPlacement &pending, TimePoint until, TimePoint now)
 {
@@ -175,6 +187,38 @@
     return {host, follower == state.m_leadership.m_followers.end() ? FailureDomainId() : follower->second.m_domain};
 }
 
+/// Records the age of a placement request that is read now, and returns it. Zero for a host that doesn't follow this one.
+Duration recordAge(State &state, const HostId &from, const PlacementRequest &placement, TimePoint now)
+{
+    constexpr double SmoothingFactor = 0.05;
+    const auto follower = state.m_leadership.m_followers.find(from);
+    if (follower == state.m_leadership.m_followers.end()) {
+        return Duration(0);
+    }
+    const Duration age = Fleet::recordMessage(follower->second.m_messageAge, placement.m_sentAt, now);
+    state.m_placementAge += SmoothingFactor * (std::chrono::duration<double>(age).count() - state.m_placementAge);
+    return age;
+}
+
+/// Returns a placement request with the times that are left after its way to this host.
+PlacementRequest sentEarlier(const PlacementRequest &placement, Duration age)
+{
+    PlacementRequest current = placement;
+    current.m_timeLeft -= age;
+    current.m_objectiveLeft -= age;
+    return current;
+}
+
+/// Handles a placement request whose sender has decided by itself in the meantime. A server or a token that it got now would be lost. If its workspace is over
+/// the limit, the sender is told, since hosts refuse further requests of such a workspace by themselves.
+void onStaleRequest(State &state, const HostId &from, const PlacementRequest &placement, TimePoint now)
+{
+    Reporting::count(state.m_counters, "draws_stale");
+    if (const auto refusal = Scheduling::refuseIfOverLimit(state.m_scheduler, placement, now)) {
+        sendTo(state, from, *refusal);
+    }
+}
+
 /// Adds the address of the granted server to a reply, if there is one.
 void addAddress(const State &state, PlacementReply &reply)
 {
@@ -298,12 +342,16 @@
 void onPlacementRequest(State &state, const HostId &from, const PlacementRequest &placement, TimePoint now, Actions &actions)
 {
     const Scheduling::PlacementId id{from, placement.m_number};
+    const Duration age = recordAge(state, from, placement, now);
     const auto granted = state.m_scheduler.m_granted.find(id);
     std::optional<PlacementReply> reply;
     if (granted != state.m_scheduler.m_granted.end()) {
         reply = PlacementReply{placement.m_number, granted->second.m_server, {}, {}, {}};
     } else if (!Scheduling::isQueued(state.m_scheduler, id)) {
-        reply = Scheduling::placement(state.m_scheduler, placement, requesterOf(state, from), state.m_random, now);
+        if (age > placement.m_replyWait) {
+            return onStaleRequest(state, from, placement, now);
+        }
+        reply = Scheduling::placement(state.m_scheduler, sentEarlier(placement, age), requesterOf(state, from), state.m_random, now);
         logPlacement(state, from, placement, reply, now, actions);
     }
     if (!reply) {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -168,6 +168,17 @@
     return placeOrEnqueue(scheduler, placement, requester, random, now);
 }
 
+std::optional<PlacementReply> refuseIfOverLimit(Scheduler &scheduler, const PlacementRequest &placement, TimePoint now)
+{
+    const auto bucket = scheduler.m_buckets.find(placement.m_workspace);
+    if (placement.m_purpose != AttemptKind::First || bucket == scheduler.m_buckets.end()) {
+        return std::nullopt;
+    }
+    Limits::refill(bucket->second, now);
+    const auto wait = Limits::timeUntilToken(bucket->second);
+    return wait && *wait == Duration(0) ? std::nullopt : std::optional(refuseOverLimit(scheduler, placement, now));
+}
+
 void cancel(Scheduler &scheduler, const PlacementId &id)
 {
     if (scheduler.m_waiting.erase(id) == 0) {
--- a/tests/host/overload.cpp
+++ b/tests/host/overload.cpp
@@ -84,7 +84,35 @@
     checkRecovery(36);
 }
 
-TEST_CASE("an overload of the leader of a larger fleet ends by itself", "[known-red]")
+TEST_CASE("an overload of the leader of a larger fleet ends by itself")
 {
     checkRecovery(118);
 }
+
+// Guards against slots and tokens that go to requests whose hosts have decided by themselves, while the leader is behind.
+TEST_CASE("regression: a leader with a backlog grants few servers that are not used")
+{
+    constexpr int Hosts = 36;
+    FleetSimulation simulation(12);
+    simulation.m_source = fakeSource();
+    writeConfiguration(simulation, 1, nlohmann::json::array({workspace("w1", 2 * RequestsPerSecond, RequestsPerSecond)}));
+    writeServers(simulation, 60, 4);
+    simulation.startHosts(Hosts);
+    simulation.run(seconds(6));
+    const auto count = [&](const std::string &name) {
+        std::uint64_t sum = 0;
+        for (int i = 1; i <= Hosts; ++i) {
+            const auto &counters = simulation.state(HostId("h" + std::to_string(i))).m_counters;
+            const auto counter = counters.find(name);
+            sum += counter == counters.end() ? 0 : counter->second;
+        }
+        return sum;
+    };
+    simulation.m_datagramCost = costForLoad(Hosts, 0.5);
+    servedShare(simulation, Hosts, seconds(3));
+    simulation.m_datagramCost = costForLoad(Hosts, 1.5);
+    servedShare(simulation, Hosts, seconds(3));
+    CAPTURE(count("draws_stale"), count("draws_unanswered"));
+    CHECK(count("draws_stale") > 0);
+    CHECK(count("draws_unused") <= count("draws_unanswered") / 10);
+}
