Leave up to 15 % of the servers of a failing service unused

A request that may run only once goes to an untrusted unused server of a failing service only while more than 15 % of the servers, or of the expected number of healthy ones, are unused, and a service counts as failing from 9.5 %.

--- a/include/ragwortrelay/scheduling/serverregistry.h
+++ b/include/ragwortrelay/scheduling/serverregistry.h
@@ -38,9 +38,10 @@
     double m_avoidAbove = 0.3; ///< Probability of being unhealthy above which a server gets only single trial requests.
     double m_floor = 0.7; ///< Share of the usable servers that is never avoided.
     Duration m_trialInterval{std::chrono::milliseconds(1500)}; ///< Interval between trial requests to an avoided server.
-    double m_failingThreshold = 0.085; ///< Share of failed and refused requests above which a service counts as failing.
+    double m_failingThreshold = 0.095; ///< Share of failed and refused requests above which a service counts as failing.
     double m_busyOutcomesPerServer = 1.0; ///< Decayed outcomes per server from which a service has enough requests to use all; see m_outcomeDecayTime.
     double m_maxUnusedShare = 0.25; ///< Share of untrusted servers that non-idempotent requests of a service that isn't failing may leave unused.
+    double m_maxUnusedShareFailing = 0.15; ///< The same while the service is failing.
     double m_trustedThreshold = 0.05; ///< Probability of being unhealthy below which a server is trusted.
     Duration m_idempotentTrialInterval{std::chrono::milliseconds(1400)}; ///< Time without a request or failure after which idempotent ones try a server.
     Duration m_unusedAfter{std::chrono::milliseconds(1600)}; ///< Time without a request after which a server counts as unused.
--- a/src/scheduling/selection.cpp
+++ b/src/scheduling/selection.cpp
@@ -370,9 +370,9 @@
 /// Returns a server without recent requests if a failing or busy service must use it; otherwise null. Neither avoiding unhealthy servers
 /// nor preferring cheap ones may leave healthy servers unused. The least suspect goes first.
 ///
-/// A failing service uses each of its servers, and so do requests that can be sent again. A limit on the share of unused servers doesn't
-/// suffice, since unhealthy ones count in it: with few healthy servers, most of them could be among the unused ones. While the service isn't
-/// failing, a request that a failure loses goes to an untrusted server only if too many of all or of the healthy ones are unused.
+/// Requests that can be sent again use each server. A request that a failure loses goes to an untrusted server only if too many of all or of the
+/// expected number of healthy ones are unused; a failing service leaves fewer of them unused. A limit on the share of all servers doesn't suffice,
+/// since unhealthy ones count in it: with few healthy servers, most of them could be among the unused ones.
 const Candidate *selectUnused(const ServerSelectionSettings &settings,
                               const std::vector<Candidate> &all,
                               const ServiceState &service,
@@ -398,8 +398,8 @@
             addUnused(unused, candidate, placement);
         }
     }
-    const bool mustUseAny =
-        failing || isTrial || unused.m_count > settings.m_maxUnusedShare * expected || unused.m_expectedHealthy > settings.m_maxUnusedShare * healthy;
+    const double maxShare = failing ? settings.m_maxUnusedShareFailing : settings.m_maxUnusedShare;
+    const bool mustUseAny = isTrial || unused.m_count > maxShare * expected || unused.m_expectedHealthy > maxShare * healthy;
     const bool isTrusted = unused.m_best != nullptr && unused.m_best->m_unhealthyProbability < settings.m_trustedThreshold;
     return mustUseAny || isTrusted ? unused.m_best : nullptr;
 }
