Tell consumers of every changed row, whatever its version

A table counts as read at the version of its first page, but later pages hold newer rows, and the consumers asked for the rows above the highest version that they had seen, so they left out what the feed brought below it.

A replica now records the names of its changed rows until its consumer takes them, for all tables; erased rows that are no longer retained are kept for it, too. The version of the last change never exceeds the one of the replica. Positions carry a digest of the rows, without which a host no longer takes over a confirmation, and the version up to which rows may have been erased that the sender doesn't know.

--- a/include/ragwortrelay/fleet/messages.h
+++ b/include/ragwortrelay/fleet/messages.h
@@ -31,13 +31,15 @@
     std::uint64_t m_version = 0; ///< Version of the store up to which the table is known; 0 for an unknown table.
     std::uint64_t m_changed = 0; ///< Version of the last known change.
     Duration m_age{}; ///< Time since the store confirmed this state; meaningless without a version.
+    std::uint64_t m_compactedVersion = 0; ///< Version up to which rows may have been erased of which the host retains nothing.
+    std::uint64_t m_digest = 0; ///< Digest of the names and versions of all rows.
 
     friend bool operator==(const ReplicaPosition &, const ReplicaPosition &) = default;
 
     /// Returns the fields in the order of the wire format.
     static auto fields(auto &self)
     {
-        return std::tie(self.m_version, self.m_changed, self.m_age);
+        return std::tie(self.m_version, self.m_changed, self.m_age, self.m_compactedVersion, self.m_digest);
     }
 };
 
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -159,7 +159,7 @@
 struct ReplicatedTable {
     Fleet::TableReplica m_replica;
     Store::TableWatcher m_watcher;
-    std::uint64_t m_appliedVersion = 0; ///< Version of the last change that was applied.
+    std::uint64_t m_appliedVersion = 0; ///< Version up to which all changes were applied. Single rows may be newer.
     bool m_isWatched = false; ///< This host currently watches the table in the store.
     PreparedDeltas m_preparedDeltas; ///< Changes that were sent since the replica's last version.
     Fleet::ReplicaPosition m_leaderPosition; ///< Position of the leader's replica by its last heartbeat.
@@ -192,7 +192,7 @@
 
 /// Changes of a table that were last sent to a follower.
 struct SentChanges {
-    std::uint64_t m_version = 0; ///< Version of the last of them.
+    std::uint64_t m_version = 0; ///< Version of the table when they were sent.
     TimePoint m_unconfirmedSince{}; ///< Time since which some of them aren't shown by the follower's heartbeats.
 };
 
--- a/include/ragwortrelay/store/tablewatcher.h
+++ b/include/ragwortrelay/store/tablewatcher.h
@@ -42,8 +42,9 @@
     std::vector<Row> m_changedRows; ///< Rows of the empty part from the last response, or from the full read that it completed.
     bool m_isFullRead = false; ///< m_changedRows holds the whole table.
     std::map<std::string, Row> m_fullReadRows; ///< Rows by name from a full read that takes several calls.
-    Version m_fullReadVersion = 0; ///< Version of the first call of the full read. Later changes are watched afterwards; a change of the era starts it anew.
-    StoreTime m_fullReadTime{}; ///< Store time of the first call of the full read.
+    Version m_fullReadVersion = 0; ///< Lowest version of the calls of the full read, up to which all its rows are known; rows of later calls may be newer.
+                                   ///< Changes since are watched afterwards; a change of the era starts it anew.
+    StoreTime m_fullReadTime{}; ///< Earliest store time of the calls of the full read.
     Version m_version = 0; ///< Version up to which the rows are known; 0 before the first full read.
     bool m_needsFullRead = true; ///< The table must be read in full.
     bool m_asksAtOnce = false; ///< The next call doesn't wait for a change, in order to probe whether the store can be read.
--- a/src/fleet/tablereplica.cpp
+++ b/src/fleet/tablereplica.cpp
@@ -1,9 +1,11 @@
+#include <ragwortrelay/core/hash.h>
 #include <ragwortrelay/fleet/tablereplica.h>
 
 #include <nlohmann/json.hpp>
 #include <zlib.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace RagwortRelay::Fleet {
 
@@ -73,18 +75,37 @@
     return rows;
 }
 
+/// Returns what a row contributes to the digest of its table. The version is hashed as text: with short names, seeds that differ by little give the same hash.
+std::uint64_t digestOf(const Store::Row &row)
+{
+    return row.m_erased ? 0 : hashOf(row.m_key.m_name + '\n' + std::to_string(row.m_version));
+}
+
+/// Removes a row from the replica and its indexes. No effect if there is none.
+void removeRow(TableReplica &table, const std::string &name)
+{
+    const auto known = table.m_rows.find(name);
+    if (known == table.m_rows.end()) {
+        return;
+    }
+    table.m_digest ^= digestOf(known->second);
+    table.m_byVersion.erase({known->second.m_version, name});
+    table.m_erased.erase({known->second.m_version, name});
+    table.m_rows.erase(known);
+}
+
 void replaceRow(TableReplica &table, Store::Row row)
 {
     const std::string name = row.m_key.m_name;
-    Store::Row &known = table.m_rows[name];
-    table.m_byVersion.erase({known.m_version, name});
-    table.m_erased.erase({known.m_version, name});
+    removeRow(table, name);
+    table.m_digest ^= digestOf(row);
     table.m_byVersion.emplace(row.m_version, name);
     if (row.m_erased) {
         table.m_erased.emplace(row.m_version, name);
     }
-    table.m_changed = std::max(table.m_changed, row.m_version);
-    known = std::move(row);
+    table.m_unapplied.insert(name);
+    table.m_droppedRows.erase(name);
+    table.m_rows.emplace(name, std::move(row));
 }
 
 /// Marks the rows as erased that are missing from a full copy of the table. Returns whether there were any.
@@ -102,35 +123,54 @@
     return !missing.empty();
 }
 
-/// Removes the older half of the erased rows if there are too many. Linear in the number of removed rows.
+/// Removes all but the latest erased rows if there are too many. Those of which the consumer doesn't know yet are kept for it. Linear in the number of
+/// removed rows.
 void compactErasedRows(TableReplica &table)
 {
     if (table.m_erased.size() <= MaxErasedRows) {
         return;
     }
-    table.m_compactedVersion = std::next(table.m_erased.begin(), MaxErasedRows / 2)->first;
-    while (!table.m_erased.empty() && table.m_erased.begin()->first <= table.m_compactedVersion) {
-        const auto oldest = table.m_erased.begin();
-        table.m_byVersion.erase(*oldest);
-        table.m_rows.erase(oldest->second);
-        table.m_erased.erase(oldest);
+    const std::uint64_t dropped = std::prev(table.m_erased.end(), MaxErasedRows / 2)->first;
+    table.m_compactedVersion = std::max(table.m_compactedVersion, dropped);
+    while (!table.m_erased.empty() && table.m_erased.begin()->first <= dropped) {
+        const std::string name = table.m_erased.begin()->second;
+        if (table.m_unapplied.contains(name)) {
+            table.m_droppedRows[name] = table.m_rows.at(name);
+        }
+        removeRow(table, name);
     }
 }
 
-/// Applies rows from the store or from another host. Returns whether any row has changed.
-/// A whole table of a later era counts as a change even without rows, so that hosts with rows of the earlier era learn that those are gone.
+/// Raises the version of the last change. Rows of a paged read may be newer than the table's version, and count when the table has reached theirs.
+void recordChange(TableReplica &table, std::uint64_t version)
+{
+    table.m_changed = std::max(table.m_changed, std::min(version, table.m_version));
+}
+
+/// Applies rows from the store or from another host, after which the table is known up to a version. Returns whether any row or the version of the last change
+/// has changed. A whole table of a later era counts as a change even without rows, so that hosts with rows of the earlier era learn that those are gone.
 bool applyRows(TableReplica &table, const std::vector<Store::Row> &rows, bool isFullTable, std::uint64_t version)
 {
-    bool changed = isFullTable && Store::eraOf(version) > Store::eraOf(table.m_version);
-    if (changed) {
-        table.m_changed = std::max(table.m_changed, version);
-    }
+    const bool isLaterEra = isFullTable && Store::eraOf(version) > Store::eraOf(table.m_version);
+    const std::uint64_t changedBefore = table.m_changed;
+    table.m_version = version;
+    bool changed = isLaterEra;
     std::set<std::string> names;
     for (const Store::Row &row : rows) {
         changed = applyRow(table, row) || changed;
+        recordChange(table, row.m_version);
         names.insert(row.m_key.m_name);
     }
-    return (isFullTable && eraseMissingRows(table, names, version)) || changed;
+    if (isFullTable) {
+        const bool hasErased = eraseMissingRows(table, names, version);
+        changed = changed || hasErased;
+        if (hasErased || isLaterEra) {
+            recordChange(table, version);
+        }
+        table.m_compactedVersion = std::max(table.m_compactedVersion, version); // Rows that this host never knew may have been erased before.
+    }
+    compactErasedRows(table);
+    return changed || table.m_changed > changedBefore;
 }
 
 std::optional<std::string> joinParts(const PartialDelta &partial)
@@ -189,6 +229,25 @@
     return rows;
 }
 
+TableChanges takeChanges(TableReplica &table)
+{
+    TableChanges changes;
+    for (const auto &[name, row] : std::exchange(table.m_droppedRows, {})) {
+        changes.m_dropped.push_back(row);
+    }
+    for (const Store::Row &row : changes.m_dropped) {
+        changes.m_rows.push_back(&row);
+    }
+    for (const std::string &name : std::exchange(table.m_unapplied, {})) {
+        const auto row = table.m_rows.find(name);
+        if (row != table.m_rows.end()) {
+            changes.m_rows.push_back(&row->second);
+        }
+    }
+    std::ranges::sort(changes.m_rows, {}, [](const Store::Row *row) { return std::tie(row->m_version, row->m_key.m_name); });
+    return changes;
+}
+
 bool applyStoreUpdate(TableReplica &table, const Store::TableWatcher &watcher, Store::WatchOutcome outcome)
 {
     const bool isOutdated = watcher.m_needsFullRead || watcher.m_version < table.m_version; // A delta from another host brought newer changes meanwhile.
@@ -196,11 +255,9 @@
         return false;
     }
     const bool changed = applyRows(table, watcher.m_changedRows, watcher.m_isFullRead, watcher.m_version);
-    table.m_version = watcher.m_version;
     if (watcher.m_confirmedAt) {
         table.m_confirmedAt = std::max(table.m_confirmedAt.value_or(*watcher.m_confirmedAt), *watcher.m_confirmedAt);
     }
-    compactErasedRows(table);
     return changed;
 }
 
@@ -226,31 +283,47 @@
 
 ReplicaPosition replicaPosition(const TableReplica &table, TimePoint now)
 {
-    return {table.m_version, table.m_changed, table.m_confirmedAt ? now - *table.m_confirmedAt : Duration(0)};
+    const Duration age = table.m_confirmedAt ? now - *table.m_confirmedAt : Duration(0);
+    return {table.m_version, table.m_changed, age, table.m_compactedVersion, table.m_digest};
 }
 
-void applyConfirmation(TableReplica &table, const ReplicaPosition &remote, TimePoint confirmedAt)
+bool holdsSameRows(const TableReplica &table, const ReplicaPosition &remote)
 {
     const bool isSameEra = Store::eraOf(remote.m_version) == Store::eraOf(table.m_version);
-    const bool holdsSameState = isSameEra && remote.m_version > 0 && table.m_version >= remote.m_changed && table.m_version > 0;
-    if (!holdsSameState) {
+    return isSameEra && remote.m_version > 0 && table.m_version > 0 && remote.m_digest == table.m_digest;
+}
+
+bool needsWholeTable(const TableReplica &table, const ReplicaPosition &remote)
+{
+    // A host of an earlier era may have rows that this host never knew and that the store has lost.
+    return Store::eraOf(remote.m_version) < Store::eraOf(table.m_version) || remote.m_version < table.m_compactedVersion;
+}
+
+void applyConfirmation(TableReplica &table, const ReplicaPosition &remote, TimePoint confirmedAt)
+{
+    if (!holdsSameRows(table, remote)) {
         return;
     }
+    const bool mayLackErasures = table.m_version < std::max(remote.m_changed, remote.m_compactedVersion);
     table.m_version = std::max(table.m_version, remote.m_version);
+    recordChange(table, remote.m_changed);
+    if (mayLackErasures) { // A row may have come and gone between the two versions, and another host may still have it.
+        table.m_compactedVersion = std::max(table.m_compactedVersion, remote.m_version);
+    }
     table.m_confirmedAt = std::max(table.m_confirmedAt.value_or(confirmedAt), confirmedAt);
 }
 
 std::vector<DeltaPart> deltaFor(const TableReplica &table, TableKind kind, const ReplicaPosition &remote)
 {
-    if (table.m_version == 0 || remote.m_version >= table.m_changed) {
+    if (remote.m_version >= table.m_version) {
         return {};
     }
-    // A host of an earlier era may have rows that this host never knew and that the store has lost, so it gets the whole table.
-    const bool isEarlierEra = Store::eraOf(remote.m_version) < Store::eraOf(table.m_version);
-    const std::uint64_t since = isEarlierEra || remote.m_version < table.m_compactedVersion ? 0 : remote.m_version;
+    const std::uint64_t since = needsWholeTable(table, remote) ? 0 : remote.m_version;
     std::vector<const Store::Row *> rows = changedSince(table, since);
     if (since == 0) {
         std::erase_if(rows, [](const Store::Row *row) { return row->m_erased; });
+    } else if (rows.empty()) {
+        return {};
     }
     const std::string packed = packRows(rows);
     if (packed.size() > MaxDeltaBytes) {
@@ -286,10 +359,7 @@
         return false;
     }
     partial = {};
-    const bool changed = applyRows(table, *rows, part.m_since == 0, part.m_version);
-    table.m_version = part.m_version;
-    compactErasedRows(table);
-    return changed;
+    return applyRows(table, *rows, part.m_since == 0, part.m_version);
 }
 
 }
--- a/src/host/registration.cpp
+++ b/src/host/registration.cpp
@@ -170,8 +170,10 @@
 
 void applyMembership(State &state, TimePoint now, Actions &actions)
 {
+    Fleet::TableReplica &table = tableOf(state, TableKind::Hosts).m_replica;
+    Fleet::takeChanges(table); // The membership is made of all rows.
     Fleet::Membership membership;
-    for (const auto &[name, row] : tableOf(state, TableKind::Hosts).m_replica.m_rows) {
+    for (const auto &[name, row] : table.m_rows) {
         if (row.m_erased) {
             continue;
         }
--- a/src/host/replication.cpp
+++ b/src/host/replication.cpp
@@ -28,6 +28,22 @@
     return parts->second;
 }
 
+/// Returns whether a host reads the changes that it lacks from the store itself. One that needs the whole table but was in touch with the store until a moment
+/// ago does, which is less work than the whole table; that is sent once its copy is out of date.
+bool readsByItself(const State &state, TableKind kind, const Fleet::ReplicaPosition &theirs)
+{
+    const Fleet::TableReplica &table = tableOf(state, kind).m_replica;
+    const bool isSameEra = Store::eraOf(theirs.m_version) == Store::eraOf(table.m_version);
+    const bool isFresh = theirs.m_version > 0 && theirs.m_age < state.m_settings.m_freshness.m_leaderFreshAge;
+    return isSameEra && isFresh && Fleet::needsWholeTable(table, theirs);
+}
+
+/// Returns whether a host has reported that it lacks changes which this host has to send.
+bool awaitsChanges(const State &state, TableKind kind, const Fleet::ReplicaPosition &theirs)
+{
+    return !Fleet::holdsSameRows(tableOf(state, kind).m_replica, theirs) && !readsByItself(state, kind, theirs);
+}
+
 /// Sends a host the changes of a table that it lacks.
 void sendChanges(State &state, const HostId &host, TableKind kind, const Fleet::ReplicaPosition &position)
 {
@@ -40,12 +56,15 @@
 void recordSent(SentChanges &sent, const Fleet::TableReplica &table, const Fleet::ReplicaPosition &theirs, TimePoint now)
 {
     const bool wasConfirmed = theirs.m_version >= sent.m_version;
-    sent = {table.m_changed, wasConfirmed ? now : sent.m_unconfirmedSince};
+    sent = {table.m_version, wasConfirmed ? now : sent.m_unconfirmedSince};
 }
 
 /// Sends a follower the changes that its heartbeat doesn't show, unless they may still be on their way.
 void sendMissingChanges(State &state, const HostId &from, TableKind kind, const Fleet::ReplicaPosition &theirs, TimePoint now)
 {
+    if (!awaitsChanges(state, kind, theirs)) {
+        return;
+    }
     const auto follower = state.m_followerTables.find(from);
     if (follower == state.m_followerTables.end()) {
         return sendChanges(state, from, kind, theirs);
@@ -53,11 +72,11 @@
     const Fleet::TableReplica &table = tableOf(state, kind).m_replica;
     SentChanges &sent = follower->second.m_sent[static_cast<std::size_t>(kind)];
     const bool mayBeOnItsWay = sent.m_version > theirs.m_version && now - sent.m_unconfirmedSince < ResendInterval;
-    if (theirs.m_version >= table.m_changed || mayBeOnItsWay) {
+    if (theirs.m_version >= table.m_version || mayBeOnItsWay) {
         return;
     }
     sendChanges(state, from, kind, theirs);
-    sent = {table.m_changed, now};
+    sent = {table.m_version, now};
 }
 
 /// Updates the lowest configuration version and the number of reachable hosts while this host leads.
@@ -124,7 +143,7 @@
     const auto index = static_cast<std::size_t>(kind);
     ReplicatedTable &table = state.m_tables[index];
     if (!Fleet::isLeader(state.m_leadership)) {
-        if (table.m_isWatched) {
+        if (table.m_isWatched && awaitsChanges(state, kind, table.m_leaderPosition)) {
             sendChanges(state, state.m_leadership.m_leader, kind, table.m_leaderPosition);
         }
         return;
@@ -135,6 +154,9 @@
         }
         Fleet::ReplicaPosition known = tables.m_reported[index];
         known.m_version = std::max(known.m_version, tables.m_sent[index].m_version);
+        if (readsByItself(state, kind, known)) {
+            continue;
+        }
         sendChanges(state, host, kind, known);
         recordSent(tables.m_sent[index], table.m_replica, tables.m_reported[index], now);
     }
--- a/src/host/tables.cpp
+++ b/src/host/tables.cpp
@@ -98,7 +98,8 @@
 void applyConfiguration(State &state, TimePoint now, Actions &actions)
 {
     ReplicatedTable &table = tableOf(state, TableKind::Configuration);
-    ChangedRows rows = Fleet::changedSince(table.m_replica, table.m_appliedVersion);
+    Fleet::TableChanges changes = Fleet::takeChanges(table.m_replica);
+    ChangedRows &rows = changes.m_rows;
     const bool isEraChanged = table.m_appliedVersion > 0 && Store::eraOf(table.m_replica.m_changed) > Store::eraOf(table.m_appliedVersion);
     table.m_appliedVersion = table.m_replica.m_changed;
     applyEvacuations(state, now, actions);
@@ -120,6 +121,9 @@
     if (!*changed) {
         return;
     }
+    if (state.m_source.m_hasOperatorTable) {
+        catalogue->m_version = table.m_appliedVersion; // Single rows may be newer than the table.
+    }
     log(actions,
         LogLine("configuration-in-force")
             .with("version", static_cast<std::int64_t>(catalogue->m_version))
@@ -179,9 +183,9 @@
 void applyServerRows(State &state, TimePoint now, Actions &actions)
 {
     ReplicatedTable &table = tableOf(state, TableKind::Servers);
-    const ChangedRows rows = Fleet::changedSince(table.m_replica, table.m_appliedVersion);
+    const Fleet::TableChanges changes = Fleet::takeChanges(table.m_replica);
     table.m_appliedVersion = table.m_replica.m_changed;
-    for (const Store::Row *row : rows) {
+    for (const Store::Row *row : changes.m_rows) {
         const auto id = state.m_source.m_serverIdOf(row->m_key.m_name);
         if (id) {
             applyServerRow(state, *id, *row, now, actions);
@@ -219,6 +223,12 @@
     return !age || Fleet::isLeader(state.m_leadership) || state.m_leadership.m_isStoreReader || *age > staleAgeOf(state, kind);
 }
 
+/// Returns whether the leader can send what this host lacks. A leader that has read the table in full doesn't know which rows were erased before.
+bool canFollow(const Fleet::TableReplica &table, const Fleet::ReplicaPosition &leader)
+{
+    return table.m_version >= leader.m_compactedVersion || Fleet::holdsSameRows(table, leader);
+}
+
 /// Starts or stops watching a table.
 /// A host that began to watch because its table was too old goes on until the table of its leader is fresh again. A host that has just started
 /// reads each table once, and stops if it finds its leader soon.
@@ -234,7 +244,8 @@
     }
     const FreshnessSettings &freshness = state.m_settings.m_freshness;
     const Duration freshAge = kind == TableKind::Hosts ? freshness.m_staleHostsAge / 2 : freshness.m_leaderFreshAge;
-    const bool isLeaderFresh = state.m_leadership.m_acknowledgedAt && table.m_leaderPosition.m_version > 0 && table.m_leaderPosition.m_age < freshAge;
+    const bool isLeaderFresh = state.m_leadership.m_acknowledgedAt && table.m_leaderPosition.m_version > 0 && table.m_leaderPosition.m_age < freshAge
+        && canFollow(table.m_replica, table.m_leaderPosition);
     if (!mustBeWatched && table.m_isWatched && !table.m_watcher.m_isRunning && (isLeaderFresh || isSearchingLeader(state, now))) {
         table.m_isWatched = false;
     }
--- a/src/store/tablewatcher.cpp
+++ b/src/store/tablewatcher.cpp
@@ -49,10 +49,9 @@
 
 WatchOutcome applyPage(TableWatcher &watcher, const RowsRead &read, const ClockOffset &clock)
 {
-    if (watcher.m_fullReadRows.empty()) {
-        watcher.m_fullReadVersion = read.m_version;
-        watcher.m_fullReadTime = read.m_time;
-    }
+    const bool isFirst = watcher.m_fullReadRows.empty();
+    watcher.m_fullReadVersion = isFirst ? read.m_version : std::min(watcher.m_fullReadVersion, read.m_version);
+    watcher.m_fullReadTime = isFirst ? read.m_time : std::min(watcher.m_fullReadTime, read.m_time);
     for (const Row &row : read.m_rows) {
         watcher.m_fullReadRows[row.m_key.m_name] = row;
     }
--- a/tests/fleet/tablereplica.cpp
+++ b/tests/fleet/tablereplica.cpp
@@ -95,12 +95,13 @@
     SECTION("a confirmation from another host applies only to the same state")
     {
         const TimePoint confirmedAt{std::chrono::seconds(9)};
-        ReplicaPosition remote = replicaPosition(leader, TimePoint{});
-        applyConfirmation(follower, remote, confirmedAt);
+        applyConfirmation(follower, replicaPosition(leader, TimePoint{}), confirmedAt);
         CHECK(follower.m_confirmedAt == confirmedAt);
-        remote.m_version = remote.m_changed = 4;
-        applyConfirmation(follower, remote, confirmedAt + std::chrono::seconds(1));
+        applyRow(leader, liveRow("r1", 4, "new"));
+        leader.m_version = 4;
+        applyConfirmation(follower, replicaPosition(leader, TimePoint{}), confirmedAt + std::chrono::seconds(1));
         CHECK(follower.m_confirmedAt == confirmedAt);
+        CHECK(follower.m_version == 3);
     }
 }
 
@@ -182,7 +183,7 @@
     SECTION("rows with smaller numbers are taken over, and those that the store has lost are erased")
     {
         CHECK(liveRows(leader) == expected);
-        const auto changes = changedSince(leader, before.m_changed);
+        const auto changes = changedSince(leader, 9);
         CHECK(changes.size() == 9); // Consumers hear of each row, also of the seven that are gone.
     }
 
