Explain where a request would go, without sending it

Operators saw which servers a host knows and how sick they look, but not why a request got a server, waited or was refused.

`ragwortrelay explain PATH` asks a host for its view of one request: route, service, limit, retry budget, queue, and every server with the components of its cost and what excludes it, as text or JSON. explainPlacement() runs placement() on a copy of the state of one service and one workspace, and explainSelection() runs the selection with a trace, so that each rule stands once. The path, the route and the caller pass the functions that a caller's request passes; admit() is split for that. The host's state is constant for all of it, and the generator is seeded by the number of the command. A host that follows a leader says so and names the parts that are its own. Bad input gives an error and exit code 1.

--- a/include/ragwortrelay/detail/cli/commandgroups.h
+++ b/include/ragwortrelay/detail/cli/commandgroups.h
@@ -31,6 +31,7 @@
 void addTableCommands(Commands &commands);
 void addKeyCommands(Commands &commands);
 void addStatusCommands(Commands &commands);
+void addExplainCommands(Commands &commands);
 void addReportCommands(Commands &commands);
 void addRulesCommands(Commands &commands);
 
--- a/include/ragwortrelay/detail/host/handlers.h
+++ b/include/ragwortrelay/detail/host/handlers.h
@@ -12,6 +12,14 @@
 void onRequestReadFailed(State &state, const RequestReadFailed &failure, TimePoint now, Actions &actions);
 void onCallerDisconnected(State &state, const CallerDisconnected &disconnected, TimePoint now, Actions &actions);
 
+/// Creates the exchange of a request that has a route, for a caller who isn't known yet. Draws no random number.
+/// @return the exchange, or the problem if the request is refused
+tl::expected<Exchange, Dispatch::Problem> findRouteOf(const State &state, const RequestArrived &request, TimePoint now);
+
+/// Sets the workspace and the key of a request, unless its route allows anonymous callers.
+/// @return the problem if the request is refused, else nothing
+std::optional<Dispatch::Problem> authenticate(const State &state, Exchange &exchange, const std::optional<Workspaces::PresentedKey> &key, TimePoint now);
+
 /// Answers the caller with a refusal and forgets the request. A request that may have run is never reported as not run.
 void refuse(State &state, ExchangeId id, const Dispatch::Problem &problem, TimePoint now, Actions &actions);
 
@@ -120,6 +128,11 @@
 
 // Placements
 
+/// Makes the placement request for the next attempt of a request.
+/// @param number number of the placement
+Scheduling::PlacementRequest
+placementRequestFor(const State &state, const Exchange &exchange, std::uint64_t number, Scheduling::AttemptKind purpose, TimePoint now);
+
 /// Requests a server for the next attempt of a request.
 void requestPlacement(State &state, ExchangeId id, Scheduling::AttemptKind purpose, TimePoint now, Actions &actions);
 
@@ -138,6 +151,9 @@
 /// Returns whether another host decides on the placements of this host.
 bool hasLeader(const State &state);
 
+/// Returns whether the next placement request is sent to the leader. A leader that left several without a reply isn't asked for a while.
+bool asksLeader(const State &state, TimePoint now);
+
 // Messages from hosts that request placements
 
 void onPlacementRequest(State &state, const HostId &from, const Scheduling::PlacementRequest &placement, TimePoint now, Actions &actions);
@@ -173,6 +189,10 @@
 // Operators
 
 void onOperatorCommand(State &state, const OperatorCommandReceived &received, TimePoint now, Actions &actions);
+
+/// Explains where a request would go now, by this host's view. Changes nothing and draws no random number from the state.
+/// @param call identifies the command; it seeds the choice among servers of about the same cost and the sample of a large service
+Operators::Reply explainRequest(const State &state, Operators::CommandId call, const Operators::ExplainRequest &request, TimePoint now);
 void onEditCompleted(State &state, Operators::CommandId call, const Store::Result &result, TimePoint now, Actions &actions);
 
 /// Retries unanswered edits and gives up those that have reached HostSettings::m_editLimit.
--- a/include/ragwortrelay/detail/scheduling/placement.h
+++ b/include/ragwortrelay/detail/scheduling/placement.h
@@ -33,6 +33,9 @@
 /// Tells whether a request has to wait for reports of the other requests that were running when it may have crashed a server.
 bool awaitsReports(const Scheduler &scheduler, const PlacementRequest &placement, TimePoint now);
 
+/// Estimates how long a placement waits behind those that precede it, from the usual latency and the slots of the service. Thread-safe.
+Duration expectedWait(const Scheduler &scheduler, const PlacementQueue &queue, const QueuedPlacement &entry, TimePoint now);
+
 /// Queues a placement for a slot, or refuses it if the queue is full or the wait would be too long. Hedges are refused.
 /// @return the refusal, or nothing if the placement was queued
 std::optional<PlacementReply> enqueue(Scheduler &scheduler, const PlacementRequest &placement, const Requester &requester, TimePoint now);
--- a/include/ragwortrelay/operators/command.h
+++ b/include/ragwortrelay/operators/command.h
@@ -5,6 +5,7 @@
 #include <ragwortrelay/core/error.h>
 #include <ragwortrelay/core/identifier.h>
 #include <ragwortrelay/core/time.h>
+#include <ragwortrelay/operators/explanation.h>
 #include <ragwortrelay/reporting/burn.h>
 
 #include <cstdint>
@@ -43,7 +44,7 @@
     friend bool operator==(const ShowBurn &, const ShowBurn &) = default;
 };
 
-using Command = std::variant<ShowTable, EditTable, ShowRollout, ShowStatus, ShowBurn>;
+using Command = std::variant<ShowTable, EditTable, ShowRollout, ShowStatus, ShowBurn, ExplainRequest>;
 
 /// Replies with the host's copy of the table.
 struct TableShown {
@@ -141,6 +142,7 @@
     friend bool operator==(const BurnShown &, const BurnShown &) = default;
 };
 
-using Reply = std::variant<TableShown, EditCommitted, EditConflict, EditRejected, EditOutcomeUnknown, RolloutShown, StatusShown, BurnShown>;
+using Reply = std::
+    variant<TableShown, EditCommitted, EditConflict, EditRejected, EditOutcomeUnknown, RolloutShown, StatusShown, BurnShown, RequestExplained, CommandRefused>;
 
 }
--- a/include/ragwortrelay/scheduling/retrybudget.h
+++ b/include/ragwortrelay/scheduling/retrybudget.h
@@ -35,6 +35,10 @@
 /// @param share part of the reserve assigned to this host, 0 to 1
 bool allowsRetry(const RetryBudget &budget, const RetryLimit &limit, double share);
 
+/// Returns the number of retries that the budget allows, with fractions.
+/// @param share part of the reserve assigned to this host, 0 to 1
+double remainingRetries(const RetryBudget &budget, const RetryLimit &limit, double share);
+
 /// Returns the budget after a retry. Precondition: allowsRetry().
 RetryBudget afterRetry(const RetryBudget &budget);
 
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -16,6 +16,7 @@
         detail::addTableCommands(commands);
         detail::addKeyCommands(commands);
         detail::addStatusCommands(commands);
+        detail::addExplainCommands(commands);
         detail::addReportCommands(commands);
         detail::addRulesCommands(commands);
         return commands;
--- a/src/host/operators.cpp
+++ b/src/host/operators.cpp
@@ -247,6 +247,9 @@
     if (std::holds_alternative<Operators::ShowBurn>(received.m_command)) {
         return startBurnReport(state, received.m_call, actions);
     }
+    if (const auto *explain = std::get_if<Operators::ExplainRequest>(&received.m_command)) {
+        return sendReply(actions, received.m_call, explainRequest(state, received.m_call, *explain, now));
+    }
     sendReply(actions, received.m_call, statusOf(state, now));
 }
 
--- a/src/host/placements.cpp
+++ b/src/host/placements.cpp
@@ -14,13 +14,14 @@
 /// Maximum number of unacknowledged queries about a placement that is queued at the leader. After that the host decides by itself.
 constexpr unsigned MaxUnacknowledged = 1;
 
-/// Makes the placement request for the next attempt of a request, with a number of its own.
-PlacementRequest placementRequestFor(State &state, const Exchange &exchange, AttemptKind purpose, TimePoint now)
+}
+
+PlacementRequest placementRequestFor(const State &state, const Exchange &exchange, std::uint64_t number, AttemptKind purpose, TimePoint now)
 {
     const auto workspace = exchange.m_catalogue->m_workspaces.find(exchange.m_workspace);
     const bool hasPriority = workspace != exchange.m_catalogue->m_workspaces.end() && workspace->second.m_priority;
     PlacementRequest placement;
-    placement.m_number = ++state.m_lastPlacement;
+    placement.m_number = number;
     placement.m_purpose = purpose;
     placement.m_service = exchange.m_service;
     placement.m_workspace = exchange.m_workspace;
@@ -38,6 +39,8 @@
     return placement;
 }
 
+namespace {
+
 /// Logs a placement that got no server immediately: refused, or queued when there is no reply. Writes at most one line per interval for each combination
 /// of service, workspace and reason, with the number of suppressed ones.
 void logPlacement(
@@ -234,21 +237,26 @@
     return !Fleet::isLeader(state.m_leadership) && state.m_leadership.m_acknowledgedAt.has_value();
 }
 
+bool asksLeader(const State &state, TimePoint now)
+{
+    return hasLeader(state) && !Fleet::isPaused(state.m_leaderTimeout, now);
+}
+
 void requestPlacement(State &state, ExchangeId id, AttemptKind purpose, TimePoint now, Actions &actions)
 {
     Exchange &exchange = state.m_exchanges.at(id);
     if (exchange.m_placement) { // It belongs to a hedge, which is refused in cases where the new placement may be queued.
         cancelPlacement(state, *exchange.m_placement);
     }
-    const bool asksLeader = hasLeader(state) && !Fleet::isPaused(state.m_leaderTimeout, now);
-    if (const auto throttled = asksLeader ? throttle(state, exchange.m_workspace, purpose, now, actions) : std::nullopt) {
+    const bool isLeaderAsked = asksLeader(state, now);
+    if (const auto throttled = isLeaderAsked ? throttle(state, exchange.m_workspace, purpose, now, actions) : std::nullopt) {
         return refuseThrottled(state, id, *throttled, now, actions);
     }
-    const PlacementRequest placement = placementRequestFor(state, exchange, purpose, now);
+    const PlacementRequest placement = placementRequestFor(state, exchange, ++state.m_lastPlacement, purpose, now);
     exchange.m_placement = placement.m_number;
     PendingPlacement &pending = state.m_placements[placement.m_number];
     pending = {id, placement, {}, now, now + leaderTimeoutOf(state, placement), 0, false, false};
-    if (!asksLeader) {
+    if (!isLeaderAsked) {
         return decideLocally(state, pending, now, actions);
     }
     constexpr double MaxResendBudget = 2.0;
--- a/src/host/requests.cpp
+++ b/src/host/requests.cpp
@@ -62,8 +62,8 @@
     return hashOf(identity, request.m_bodyDigest);
 }
 
-/// Sets the workspace and the key of a request, unless its route allows anonymous callers.
-/// @return the problem if the request is refused, else nothing
+}
+
 std::optional<Problem> authenticate(const State &state, Exchange &exchange, const std::optional<Workspaces::PresentedKey> &key, TimePoint now)
 {
     if (exchange.m_route.m_allowsAnonymous) {
@@ -84,9 +84,7 @@
     return Problem{Http::Status::Unauthorized, ErrorId::RequestUnauthenticated, Outcome::NotRun, "no valid workspace key", {}};
 }
 
-/// Creates the exchange of a request.
-/// @return the exchange, or the problem if the request is refused
-tl::expected<Exchange, Problem> admit(State &state, const RequestArrived &request, TimePoint now)
+tl::expected<Exchange, Problem> findRouteOf(const State &state, const RequestArrived &request, TimePoint now)
 {
     if (!state.m_catalogue) {
         return tl::unexpected(staleConfigurationProblem("the host has no configuration yet"));
@@ -111,12 +109,25 @@
         return tl::unexpected(
             Problem{Http::Status::ServiceUnavailable, ErrorId::RequestHostStopping, Outcome::NotRun, "the host is stopping", StoppingRetryAfter});
     }
+    return exchange;
+}
+
+namespace {
+
+/// Creates the exchange of a request.
+/// @return the exchange, or the problem if the request is refused
+tl::expected<Exchange, Problem> admit(State &state, const RequestArrived &request, TimePoint now)
+{
+    auto exchange = findRouteOf(state, request, now);
+    if (!exchange) {
+        return exchange;
+    }
     const auto key = request.m_metadata.m_key.empty() ? std::nullopt : state.m_source.m_readKey(request.m_metadata.m_key);
-    if (const auto problem = authenticate(state, exchange, key, now)) {
+    if (const auto problem = authenticate(state, *exchange, key, now)) {
         return tl::unexpected(*problem);
     }
-    exchange.m_service = chooseService(*route, state.m_random);
-    exchange.m_fingerprint = fingerprintOf(request, exchange.m_workspace);
+    exchange->m_service = chooseService(exchange->m_route, state.m_random);
+    exchange->m_fingerprint = fingerprintOf(request, exchange->m_workspace);
     return exchange;
 }
 
--- a/src/operators/codec.cpp
+++ b/src/operators/codec.cpp
@@ -152,6 +152,17 @@
     return {Http::Status::Ok, Reporting::encodeReport(burn.m_report)};
 }
 
+EncodedReply encode(const RequestExplained &explained)
+{
+    return {Http::Status::Ok, encodeExplanation(explained)};
+}
+
+EncodedReply encode(const CommandRefused &refused)
+{
+    const Error &error = refused.m_error;
+    return {Http::Status::Unprocessable, Json{{"id", toString(error.m_id)}, {"message", error.m_message}}.dump()};
+}
+
 }
 
 tl::expected<Reply, Error> decodeEditReply(const EncodedReply &response)
@@ -213,6 +224,9 @@
     if (method == "GET" && path.starts_with(rolloutPathPrefix)) {
         return ShowRollout{std::strtoull(path.c_str() + rolloutPathPrefix.size(), nullptr, 10)};
     }
+    if (method == "POST" && path == "/ragwortrelay/explain") {
+        return decodeExplainRequest(body).map([](const ExplainRequest &request) { return Command(request); });
+    }
     if (method != "POST" || path != "/ragwortrelay/table") {
         return tl::unexpected(Error{ErrorId::RequestNoRoute, "no such command"});
     }
--- a/src/scheduling/queueing.cpp
+++ b/src/scheduling/queueing.cpp
@@ -29,7 +29,8 @@
     std::erase_if(queue.m_finishTags, [&](const auto &finishTag) { return finishTag.second <= queue.m_virtualTime; });
 }
 
-/// Estimates how long a placement waits behind those that precede it, from the usual latency and the slots of the service.
+}
+
 Duration expectedWait(const Scheduler &scheduler, const PlacementQueue &queue, const QueuedPlacement &entry, TimePoint now)
 {
     const PlacementRequest &placement = entry.m_placement;
@@ -40,6 +41,8 @@
     return usualTimeOf(scheduler, placement.m_service) * static_cast<std::int64_t>(countAhead(queue, entry) + 1) / slots;
 }
 
+namespace {
+
 /// Refuses the placements that can no longer be answered in time.
 void refuseExpired(Scheduler &scheduler, const ServiceId &service, PlacementQueue &queue, TimePoint now, std::vector<AddressedReply> &responses)
 {
--- a/src/scheduling/retrybudget.cpp
+++ b/src/scheduling/retrybudget.cpp
@@ -34,6 +34,11 @@
     return budget.m_spent + 1.0 <= maxRetryBurst(limit) * share;
 }
 
+double remainingRetries(const RetryBudget &budget, const RetryLimit &limit, double share)
+{
+    return std::max(0.0, maxRetryBurst(limit) * share - budget.m_spent);
+}
+
 RetryBudget afterRetry(const RetryBudget &budget)
 {
     return {budget.m_spent + 1.0};
--- a/src/scheduling/selection.cpp
+++ b/src/scheduling/selection.cpp
@@ -1,3 +1,4 @@
+#include <ragwortrelay/detail/scheduling/selection.h>
 #include <ragwortrelay/detail/scheduling/servers.h>
 
 #include <algorithm>
@@ -8,6 +9,10 @@
 
 namespace {
 
+using detail::allowsColdStart;
+using detail::Candidate;
+using detail::connectedServers;
+using detail::costOf;
 using detail::hasFreeSlot;
 using detail::hasSpilloverPrice;
 using detail::isUsable;
@@ -26,14 +31,6 @@
     return std::ranges::find(servers, server) != servers.end();
 }
 
-/// Server that could be selected.
-struct Candidate {
-    const ServerState *m_state = nullptr;
-    double m_unhealthyProbability = 0.0;
-    bool m_isConnected = false; ///< Whether the requesting host is likely to have a usable connection to the server.
-    bool m_canStart = false; ///< The server has a free slot, and its warm-up or its return from an evacuation allows a start now.
-};
-
 /// Returns the time over which a restored server of a service comes back.
 Duration rampOf(const ServerSelectionSettings &settings, const ServiceState &service)
 {
@@ -46,8 +43,9 @@
     return state.m_restoredAt && now - *state.m_restoredAt < rampOf(settings, service);
 }
 
-/// Tells whether the limit of starts at cold servers allows one more at a server.
-bool allowsColdStart(
+}
+
+bool detail::allowsColdStart(
     const ServerRegistry &registry, const ServerSelectionSettings &settings, const ServiceState &service, const ServerState &state, TimePoint now)
 {
     const double coldRate = service.m_policy.m_coldRate;
@@ -55,6 +53,8 @@
     return !isLimited || allowsStart(state.m_recentStarts, maxColdStarts(*settings.m_warmupBounds, coldRate, registry.m_warmupShare.m_usable), now);
 }
 
+namespace {
+
 /// Decides for one selection whether it may use servers that come back from an evacuation. The share of the selections that may grows in proportion
 /// to the time since the restoration. One draw holds for all servers: with a draw for each, nearly every selection would find one that it may use.
 class RestorationDraw
@@ -79,9 +79,10 @@
     std::optional<double> m_drawn;
 };
 
-/// Returns the servers to which a host is likely to have an idle connection that the request may use.
-std::vector<ServerId>
-connectedServers(const ServerSelectionSettings &settings, const ServiceState &service, const PlacementRequest &placement, const HostId &host, TimePoint now)
+}
+
+std::vector<ServerId> detail::connectedServers(
+    const ServerSelectionSettings &settings, const ServiceState &service, const PlacementRequest &placement, const HostId &host, TimePoint now)
 {
     std::vector<ServerId> servers;
     const auto idle = service.m_idleConnections.find(host);
@@ -96,20 +97,24 @@
     return servers;
 }
 
-double costOf(const ServerSelectionSettings &settings, const Candidate &candidate, const PlacementRequest &placement, const Requester &requester, TimePoint now)
+CostComponents detail::costOf(
+    const ServerSelectionSettings &settings, const Candidate &candidate, const PlacementRequest &placement, const Requester &requester, TimePoint now)
 {
     const ServerState &state = *candidate.m_state;
     const double utilization = static_cast<double>(state.m_running.size()) / static_cast<double>(state.m_server.m_slots);
-    double cost = candidate.m_unhealthyProbability * (placement.m_idempotent ? settings.m_retryCost : settings.m_failureCost);
-    cost += utilization * settings.m_utilizationCost / state.m_server.m_weight;
+    CostComponents cost;
+    cost.m_failure = candidate.m_unhealthyProbability * (placement.m_idempotent ? settings.m_retryCost : settings.m_failureCost);
+    cost.m_utilization = utilization * settings.m_utilizationCost / state.m_server.m_weight;
     const double crossDomainCost = hasSpilloverPrice(settings, requester) ? spilloverPrice(settings.m_spillover, kibOf(placement)) : settings.m_crossDomainCost;
-    cost += state.m_server.m_domain == requester.m_domain ? 0.0 : crossDomainCost;
-    cost += candidate.m_isConnected ? 0.0 : settings.m_connectionCost;
-    cost += isCold(state, now) ? settings.m_warmupCost : 0.0;
-    cost += std::max(0.0, slownessOf(state, settings, now) - 1.0) * settings.m_slownessCost;
+    cost.m_domain = state.m_server.m_domain == requester.m_domain ? 0.0 : crossDomainCost;
+    cost.m_connection = candidate.m_isConnected ? 0.0 : settings.m_connectionCost;
+    cost.m_warmup = isCold(state, now) ? settings.m_warmupCost : 0.0;
+    cost.m_slowness = std::max(0.0, slownessOf(state, settings, now) - 1.0) * settings.m_slownessCost;
     return cost;
 }
 
+namespace {
+
 bool isEvacuated(const ServerRegistry &registry, const ServerId &server)
 {
     const auto found = registry.m_servers.find(server);
@@ -216,7 +221,7 @@
         if (contains(placement.m_excluded, candidate.m_state->m_server.m_id) || !candidate.m_canStart || !isAllowed(candidate)) {
             continue;
         }
-        const double cost = costOf(settings, candidate, placement, requester, now) + TieBreakCost * randomUnit(random);
+        const double cost = costOf(settings, candidate, placement, requester, now).total() + TieBreakCost * randomUnit(random);
         if (cost < minCost) {
             minCost = cost;
             best = &candidate;
@@ -291,7 +296,7 @@
         return best;
     }
     if (best != nullptr) {
-        const bool isCheaper = costOf(settings, *other, placement, requester, now) < costOf(settings, *best, placement, requester, now);
+        const bool isCheaper = costOf(settings, *other, placement, requester, now).total() < costOf(settings, *best, placement, requester, now).total();
         return isCheaper ? other : best;
     }
     const double benefit = waitingCost(expectedWait(demand, spillover, now), placement.m_objectiveLeft - service.m_usualTime);
@@ -414,19 +419,41 @@
                                                       TimePoint now,
                                                       const std::vector<ServerId> &freed)
 {
+    return detail::selectServer(registry, settings, placement, requester, random, now, freed, nullptr);
+}
+
+tl::expected<ServerId, SelectionFailure> detail::selectServer(const ServerRegistry &registry,
+                                                              const ServerSelectionSettings &settings,
+                                                              const PlacementRequest &placement,
+                                                              const Requester &requester,
+                                                              RandomGenerator &random,
+                                                              TimePoint now,
+                                                              const std::vector<ServerId> &freed,
+                                                              SelectionTrace *trace)
+{
+    SelectionTrace unusedTrace;
+    SelectionTrace &steps = trace != nullptr ? *trace : unusedTrace;
     const auto service = registry.m_services.find(placement.m_service);
     if (service == registry.m_services.end()) {
         return tl::unexpected(SelectionFailure::NoServer);
     }
     std::vector<Candidate> candidates = candidatesOf(registry, settings, service->second, placement, requester, random, now, freed);
     const std::size_t usable = candidates.size();
+    if (trace != nullptr) {
+        steps.m_candidates = candidates;
+    }
     if (const Candidate *unused = selectUnused(settings, candidates, service->second, placement, requester, now)) {
+        steps.m_step = SelectionStep::UnusedServer;
         return unused->m_state->m_server.m_id;
     }
     const std::vector<Candidate> avoided = extractAvoided(settings, service->second.m_policy, candidates, now);
+    if (trace != nullptr) {
+        steps.m_avoided = avoided;
+    }
     const Candidate *trial = selectForTrial(settings, avoided, placement, requester, now);
     const Candidate *best = trial != nullptr ? trial : cheapestByDomain(settings, service->second, candidates, placement, requester, random, now);
     if (best != nullptr) {
+        steps.m_step = trial != nullptr ? SelectionStep::Trial : SelectionStep::Cheapest;
         return best->m_state->m_server.m_id;
     }
     const auto isExcluded = [&](const Candidate &candidate) { return contains(placement.m_excluded, candidate.m_state->m_server.m_id); };
@@ -434,6 +461,7 @@
     if (areAllExcluded) { // Only servers that look unhealthy are left.
         best = cheapest(settings, avoided, placement, requester, random, now);
         if (best != nullptr) {
+            steps.m_step = SelectionStep::LastResort;
             return best->m_state->m_server.m_id;
         }
     }
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -102,6 +102,18 @@
             resume_timer.join()
             self.assertEqual(code, 0, err)
 
+    def test_explain_reports_a_server_or_the_fault_of_its_input(self):
+        with Fleet(hosts=2) as fleet:
+            fleet.configure()
+            code, out, err = cli(fleet.hosts[1], "explain", "/a", "--workspace", "w1")
+            self.assertEqual(code, 0, err)
+            self.assertIn("granted, server", out)
+            self.assertEqual(json.loads(cli(fleet.hosts[0], "explain", "/a", "--workspace", "w1", "--json")[1])["workspace"], "w1")
+            for arguments, error in (("/a", "--workspace", "none"), "RW0206"), (("a",), "RW0301"):
+                code, _, err = cli(fleet.hosts[0], "explain", *arguments)
+                self.assertEqual(code, 1)
+                self.assertIn("error " + error, err)
+
     @staticmethod
     def status_on(connection, key):
         connection.request("GET", "/a", headers=bearer(key))
