End with exit code 2 on invalid arguments of any command

Operators saw exit code 1, that of a refused command, for arguments that can't be parsed; the guide says 2.

TCLAP ends the process by itself, with 1. All commands now parse their arguments by parseArguments(), which sets the exit code.

Seen to fail before: Usage in tests/processes/test_configuration.py, 1 instead of 2 for `status` without arguments. It passes now, as do processes_configuration, processes_evacuation, processes_operator_reports and processes_platform.

--- a/include/ragwortrelay/detail/cli/commandgroups.h
+++ b/include/ragwortrelay/detail/cli/commandgroups.h
@@ -13,7 +13,7 @@
 /// Arguments of one command, its name first.
 using Arguments = std::vector<std::string>;
 
-/// Function that parses the arguments of one command and runs it. TCLAP ends the process on `--help` and on invalid arguments.
+/// Function that parses the arguments of one command and runs it. parseArguments() ends the process on `--help` and on invalid arguments.
 using Command = std::function<ExitCode(Arguments)>;
 
 /// Commands by name. A name has one or two words.
--- a/src/cli/checkcommand.cpp
+++ b/src/cli/checkcommand.cpp
@@ -1,5 +1,6 @@
 #include <ragwortrelay/detail/cli/commandgroups.h>
 #include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/detail/cli/parsing.h>
 #include <ragwortrelay/settings/settings.h>
 
 #include <tclap/CmdLine.h>
@@ -24,7 +25,7 @@
 {
     TCLAP::CmdLine commandLine("Checks a settings file, or a table file whose name ends in .csv", ' ', Version);
     TCLAP::UnlabeledValueArg<std::string> file("file", "File", true, "", "FILE", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     if (file.getValue().ends_with(".csv")) {
         return reportCheck(file.getValue(), checkTableFile(file.getValue()));
     }
--- a/src/cli/explaincommand.cpp
+++ b/src/cli/explaincommand.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/detail/cli/commandgroups.h>
 #include <ragwortrelay/detail/cli/hostarguments.h>
 #include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/detail/cli/parsing.h>
 #include <ragwortrelay/http/status.h>
 #include <ragwortrelay/operators/explanation.h>
 
@@ -78,7 +79,7 @@
     HostArguments host(commandLine);
     RequestArguments request(commandLine);
     TCLAP::SwitchArg json("", "json", "Print JSON", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     if (!request.areValid()) {
         std::cerr << "explain: give either --workspace or --key, and a size of the body that is not negative\n";
         return ExitCode::WrongUsage;
--- a/src/cli/keycommands.cpp
+++ b/src/cli/keycommands.cpp
@@ -1,5 +1,6 @@
 #include <ragwortrelay/detail/cli/commandgroups.h>
 #include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/detail/cli/parsing.h>
 #include <ragwortrelay/detail/cli/tableclient.h>
 #include <ragwortrelay/workspaces/authentication.h>
 
@@ -22,7 +23,7 @@
     TCLAP::CmdLine commandLine("Gives a key to a workspace and prints it, once", ' ', Version);
     EditArguments editArguments(commandLine);
     TCLAP::UnlabeledValueArg<std::string> workspace("workspace", "Workspace", true, "", "WORKSPACE", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     const std::string id = randomHex(IdBytes);
     const std::string secret = randomHex(SecretBytes);
     const std::string salt = randomHex(SecretBytes);
@@ -36,7 +37,7 @@
     EditArguments editArguments(commandLine);
     TCLAP::UnlabeledValueArg<std::string> workspace("workspace", "Workspace", true, "", "WORKSPACE", commandLine);
     TCLAP::UnlabeledValueArg<std::string> id("id", "Id of the key: its part before the dot", true, "", "ID", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     const auto table = readTable(editArguments.endpoints());
     if (!table) {
         printError(table.error());
@@ -58,7 +59,7 @@
     HostArguments hosts(commandLine);
     TCLAP::SwitchArg json("", "json", "Prints the result as JSON", commandLine);
     TCLAP::UnlabeledValueArg<std::string> workspace("workspace", "Workspace", false, "", "WORKSPACE", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     const auto table = readTable(hosts.endpoints());
     if (!table) {
         printError(table.error());
--- a/src/cli/reportcommands.cpp
+++ b/src/cli/reportcommands.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/detail/cli/commandgroups.h>
 #include <ragwortrelay/detail/cli/hostarguments.h>
 #include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/detail/cli/parsing.h>
 #include <ragwortrelay/http/status.h>
 #include <ragwortrelay/reporting/burn.h>
 
@@ -29,7 +30,7 @@
     HostArguments host(commandLine);
     TCLAP::ValueArg<std::string> page("", "html", "Write a page with plots to this file", false, "", "FILE", commandLine);
     TCLAP::SwitchArg json("", "json", "Print JSON", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     const auto response = sendToHost(host.endpoint(), "/ragwortrelay/burn", "");
     if (!response || response->m_status != Http::Status::Ok || json.getValue()) {
         return printResponse(response);
--- a/src/cli/rulescommands.cpp
+++ b/src/cli/rulescommands.cpp
@@ -1,5 +1,6 @@
 #include <ragwortrelay/detail/cli/commandgroups.h>
 #include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/detail/cli/parsing.h>
 #include <ragwortrelay/rules/alertrules.h>
 
 #include <tclap/CmdLine.h>
@@ -17,7 +18,7 @@
 {
     TCLAP::CmdLine commandLine("Reads alert rules and prints rows for 'table apply'; reports the lines that it can't convert", ' ', Version);
     TCLAP::UnlabeledValueArg<std::string> name("file", "Rule file in the YAML form of Prometheus", true, "", "FILE", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     std::ifstream file(name.getValue());
     if (!file) {
         printFindings({{{name.getValue(), 0, 0}, ErrorId::RulesUnreadable, "the file can't be read"}});
--- a/src/cli/servecommand.cpp
+++ b/src/cli/servecommand.cpp
@@ -1,5 +1,6 @@
 #include <ragwortrelay/detail/cli/commandgroups.h>
 #include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/detail/cli/parsing.h>
 #include <ragwortrelay/host/operatortablesource.h>
 #include <ragwortrelay/loop/relay.h>
 #include <ragwortrelay/settings/settings.h>
@@ -143,7 +144,7 @@
 {
     TCLAP::CmdLine commandLine("Runs a host until it is told to stop", ' ', Version);
     TCLAP::ValueArg<std::string> file("", "settings", "Settings file", true, "", "FILE", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     const auto settings = Settings::loadSettings(file.getValue());
     if (!settings) {
         printFindings(settings.error());
--- a/src/cli/statuscommand.cpp
+++ b/src/cli/statuscommand.cpp
@@ -1,6 +1,7 @@
 #include <ragwortrelay/detail/cli/commandgroups.h>
 #include <ragwortrelay/detail/cli/hostarguments.h>
 #include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/detail/cli/parsing.h>
 
 namespace RagwortRelay::Cli::detail {
 
@@ -10,7 +11,7 @@
 {
     TCLAP::CmdLine commandLine("Prints the state of a host", ' ', Version);
     HostArguments host(commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     return printResponse(sendToHost(host.endpoint(), "/ragwortrelay/status", ""));
 }
 
--- a/src/cli/tablecommands.cpp
+++ b/src/cli/tablecommands.cpp
@@ -1,5 +1,6 @@
 #include <ragwortrelay/detail/cli/commandgroups.h>
 #include <ragwortrelay/detail/cli/output.h>
+#include <ragwortrelay/detail/cli/parsing.h>
 #include <ragwortrelay/detail/cli/tableclient.h>
 
 #include <fstream>
@@ -30,7 +31,7 @@
     TCLAP::CmdLine commandLine("Prints the operators' table as JSON, or writes it as a table file", ' ', Version);
     HostArguments hosts(commandLine);
     TCLAP::ValueArg<std::string> csv("", "csv", "Writes a table file; - for standard output", false, "", "FILE", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     if (csv.getValue().empty()) {
         return printResponse(sendToFirstReachable(hosts.endpoints(), "/ragwortrelay/table", ""));
     }
@@ -83,7 +84,7 @@
         "", "base", "Version of the row that the edit is based on; by default the stored version", false, 0, "VERSION", commandLine);
     TCLAP::UnlabeledValueArg<std::string> row("row", "Kind and name of the row", true, "", "KIND/NAME", commandLine);
     TCLAP::UnlabeledMultiArg<std::string> assignments("cells", "Cells to set; an empty value removes the cell", false, "COLUMN=VALUE", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     const auto key = parseRowKey(row.getValue());
     if (!key) {
         printError(key.error());
@@ -109,7 +110,7 @@
     TCLAP::CmdLine commandLine("Erases a row of the operators' table", ' ', Version);
     EditArguments editArguments(commandLine);
     TCLAP::UnlabeledValueArg<std::string> row("row", "Kind and name of the row", true, "", "KIND/NAME", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     const auto key = parseRowKey(row.getValue());
     if (!key) {
         printError(key.error());
@@ -159,7 +160,7 @@
     EditArguments editArguments(commandLine);
     TCLAP::SwitchArg dryRun("", "dry-run", "Only prints what would be written", commandLine);
     TCLAP::UnlabeledValueArg<std::string> name("file", "Table file", true, "", "FILE", commandLine);
-    commandLine.parse(arguments);
+    parseArguments(commandLine, arguments);
     const auto file = loadTableFile(name.getValue());
     if (!file) {
         printFindings(file.error());
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -4,11 +4,12 @@
 import json
 import re
 import signal
+import subprocess
 import threading
 import time
 import unittest
 
-from fleet import TOKEN, Fleet, bearer, cli, eventually, request
+from fleet import PROGRAM, TOKEN, Fleet, bearer, cli, eventually, request
 
 
 def table_version(host):
@@ -127,5 +128,12 @@
         return next(row["version"] for row in table["rows"] if row["kind"] == kind and row["name"] == name)
 
 
+class Usage(unittest.TestCase):
+    def test_invalid_arguments_have_the_exit_code_of_wrong_usage(self):
+        for arguments in ["status"], ["explain", "--unknown"], ["table", "set"], ["check"]:
+            self.assertEqual(subprocess.run([PROGRAM, *arguments], capture_output=True, timeout=60, check=False).returncode, 2, arguments)
+        self.assertEqual(subprocess.run([PROGRAM, "status", "--help"], capture_output=True, timeout=60, check=False).returncode, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
