Compare explanations with placements that wait or are refused, too

The comparison granted all of its 600 placements, so a copy of the state without the queue or the retry budget passed it. Its load now comes in bursts and its retry budget is small.

Seen to fail on changed code: without the copy of the queue, and without that of the budget. The tests of scheduling and host pass.

--- a/tests/scheduling/explanation.cpp
+++ b/tests/scheduling/explanation.cpp
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <deque>
+#include <map>
 
 using namespace RagwortRelay;
 using namespace RagwortRelay::Scheduling;
@@ -74,36 +74,39 @@
     TimePoint now{seconds(1000)};
     Scheduler scheduler = makeScheduler(servers, 100000, 100000, now);
     scheduler.m_settings.m_selection.m_spillover.m_pricePerKib = GENERATE(0.0, 0.01);
+    scheduler.m_settings.m_retries = {0.05, 10.0, 0.25}; // Fewer than the retries below, so that some are refused.
     RandomGenerator random(11);
-    std::size_t granted = 0;
-    std::deque<PlacementReply> running;
+    std::map<PlacementOutcome, int> outcomes;
+    std::multimap<TimePoint, PlacementReply> running;
     for (std::uint64_t i = 1; i <= 600; ++i) {
-        now += milliseconds(2);
+        now += milliseconds(i / 50 % 2 == 0 ? 4 : 1); // Bursts exceed the slots of 7 servers.
+        while (!running.empty() && running.begin()->first <= now) {
+            const PlacementReply ended = running.begin()->second;
+            running.erase(running.begin());
+            const AttemptEnd end = *ended.m_server == First ? AttemptEnd::Broken : AttemptEnd::Succeeded;
+            finish(scheduler, {ended.m_number, *ended.m_server, end, milliseconds(30), 0, 0, false}, Self, now);
+        }
+        for (const AddressedReply &served : serve(scheduler, random, now)) {
+            if (served.m_response.m_server) {
+                running.emplace(now + milliseconds(30), served.m_response);
+            }
+        }
         PlacementRequest placement = placementOf(i);
         placement.m_idempotent = i % 3 != 0;
         placement.m_purpose = i % 7 == 0 ? AttemptKind::Retry : AttemptKind::First;
         const PlacementExplanation explained = explainPlacement(scheduler, placement, Self, random, now);
         const auto reply = Scheduling::placement(scheduler, placement, Self, random, now);
+        ++outcomes[explained.m_outcome];
         REQUIRE((explained.m_outcome == PlacementOutcome::Refused) == (reply && !reply->m_server));
         REQUIRE(explained.m_server == (reply ? reply->m_server : std::nullopt));
         if (reply && reply->m_server) {
-            ++granted;
             CHECK((explained.m_hasSpilloverPrice || explained.m_selection.m_server == reply->m_server));
-            running.push_back(*reply);
-        }
-        for (const AddressedReply &served : serve(scheduler, random, now)) {
-            if (served.m_response.m_server) {
-                running.push_back(served.m_response);
-            }
-        }
-        while (running.size() > 3) {
-            const PlacementReply ended = running.front();
-            running.pop_front();
-            const AttemptEnd end = *ended.m_server == First ? AttemptEnd::Broken : AttemptEnd::Succeeded;
-            finish(scheduler, {ended.m_number, *ended.m_server, end, milliseconds(6), 0, 0, false}, Self, now);
+            running.emplace(now + milliseconds(30), *reply);
         }
     }
-    CHECK(granted > 300); // Otherwise the test would compare hardly any servers.
+    CHECK(outcomes[PlacementOutcome::Granted] > 0);
+    CHECK(outcomes[PlacementOutcome::Refused] > 0);
+    CHECK((servers > 7 || outcomes[PlacementOutcome::Queued] > 0));
 }
 
 // A server without requests couldn't be told from one that was merely expensive.
