--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -107,6 +107,7 @@
 /// Kind of work that a timer starts.
 enum class TimerKind : std::uint8_t {
     Deadline, ///< Deadline of an exchange.
+    UnansweredDeadline, ///< Deadline of an exchange, after the responses that had arrived by then were read.
     Hedge, ///< Hedged attempt of an exchange.
     PlacementRequest, ///< Placement request without a reply of the leader.
     Silence, ///< Time after which an attempt without a response counts as a sign that its server has ended.
--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -88,18 +88,29 @@
     return now - dueAt >= MinSuspension;
 }
 
-/// Handles all timers that are due. After a suspension, deadlines wait until the responses that are there have been read.
+/// Returns how long a deadline that is due waits for responses that have arrived but are still unread. The event loop reads what is there before it handles a
+/// timer that is armed now; after a wait of some length there may be more than it reads at once.
+Duration readingTime(const State &state, TimePoint dueAt, TimePoint now)
+{
+    constexpr Duration MinDelay = std::chrono::milliseconds(10); // The event loop of a host in ordinary operation is late by less.
+    constexpr Duration OneRound = std::chrono::milliseconds(1);
+    return now - dueAt >= MinDelay ? state.m_settings.m_responseGrace : OneRound;
+}
+
+/// Handles all timers that are due. A deadline waits once until the responses that are there have been read, and again after each suspension.
 void processDueTimers(State &state, TimePoint now, Actions &actions)
 {
     while (!state.m_timers.empty() && state.m_timers.begin()->first <= now) {
         const auto [dueAt, due] = *state.m_timers.begin();
         state.m_timers.erase(state.m_timers.begin());
-        if (due.m_kind == TimerKind::Deadline && hasBeenSuspended(dueAt, now)) {
-            state.m_timers.emplace(now + state.m_settings.m_responseGrace, due);
+        const bool isSuspendedAgain = due.m_kind == TimerKind::UnansweredDeadline && hasBeenSuspended(dueAt, now);
+        if (due.m_kind == TimerKind::Deadline || isSuspendedAgain) {
+            state.m_timers.emplace(now + readingTime(state, dueAt, now), Timer{TimerKind::UnansweredDeadline, due.m_subject});
             continue;
         }
         switch (due.m_kind) {
         case TimerKind::Deadline:
+        case TimerKind::UnansweredDeadline:
             onDeadline(state, due.m_subject, now, actions);
             break;
         case TimerKind::Hedge:
--- a/tests/host/requests.cpp
+++ b/tests/host/requests.cpp
@@ -259,6 +259,28 @@
     CHECK(std::ranges::find(actions, Host::Action(forwarded)) != actions.end());
 }
 
+// Guards against a 504 in place of a response that is there, whichever the event loop handles first, and however late it handles the deadline.
+TEST_CASE("regression: a host that was woken shortly after a deadline gave up a request although its response had arrived")
+{
+    FleetSimulation simulation(21);
+    startStableFleet(simulation, 1, 1);
+    simulation.m_server = [](const ServedAttempt &) { return std::pair(Duration(0), std::optional<Host::Event>()); };
+    const auto id = simulation.request(One, "/book/1");
+    simulation.run(milliseconds(100));
+    Host::State &state = simulation.m_hosts.at(One);
+    const Host::AttemptId attempt = simulation.m_receivedAttempts.front().m_start.m_attempt;
+    const TimePoint wokenAt =
+        state.m_exchanges.at(id).m_deadline + state.m_settings.m_responseGrace + GENERATE(Duration(0), milliseconds(5), milliseconds(300));
+    const Host::Event timer = Host::TimerExpired{};
+    const Host::Event response = *FleetSimulation::responded(attempt, 200);
+    const bool isTimerFirst = GENERATE(true, false);
+    Host::Actions actions = Host::handle(state, isTimerFirst ? timer : response, wokenAt);
+    const Host::Actions later = Host::handle(state, isTimerFirst ? response : timer, wokenAt);
+    actions.insert(actions.end(), later.begin(), later.end());
+    CHECK(std::ranges::find(actions, Host::Action(Host::ForwardResponse{id, attempt})) != actions.end());
+    CHECK(std::ranges::none_of(actions, [](const Host::Action &action) { return std::holds_alternative<Host::SendProblem>(action); }));
+}
+
 TEST_CASE("a request without a response ends soon after its host was suspended beyond the deadline")
 {
     FleetSimulation simulation(21);
