Count bodies whose attempt goes on after their caller got a 504

A host with 160 MiB held 137 MiB for two requests whose callers had got 504, while caller_bytes_held showed almost nothing: the connection of the caller accounted for the body and had let go of it, but the attempt goes on when its request may run only once.

The body now accounts for itself from then on until its memory is freed. Over the limit the budget ends such attempts as it closes connections. A body is freed once it is sent instead of when the server has responded.

--- a/include/ragwortrelay/detail/loop/callerconnection.h
+++ b/include/ragwortrelay/detail/loop/callerconnection.h
@@ -79,6 +79,8 @@
     void release(ReleaseReason reason);
     void markProgress();
     void removeExchange();
+    /// Frees the request, as far as no attempt uses its body.
+    void dropRequest();
 
     static constexpr std::size_t ReadBufferSize = 4096; // bytes
 
@@ -95,6 +97,7 @@
     std::string m_nextOutput; ///< Bytes of the next write.
     Phase m_phase = Phase::Idle;
     CallerBudget::Id m_budgetId = 0;
+    std::string m_address; ///< IP address of the caller.
     std::uint64_t m_headBytes = 0; ///< Memory of the head of the request that awaits its response.
     bool m_isChunked = false;
     bool m_hasBody = true; ///< The response has a body.
--- a/include/ragwortrelay/loop/backendpool.h
+++ b/include/ragwortrelay/loop/backendpool.h
@@ -5,6 +5,7 @@
 #include <ragwortrelay/http/headerscheme.h>
 #include <ragwortrelay/loop/asio.h>
 #include <ragwortrelay/loop/clientconnection.h>
+#include <ragwortrelay/loop/heldbody.h>
 #include <ragwortrelay/loop/responsestream.h>
 
 #include <functional>
@@ -21,6 +22,7 @@
     Http::RequestHead m_head;
     Http::RequestMetadata m_metadata;
     std::shared_ptr<const std::string> m_body;
+    std::shared_ptr<HeldBody> m_heldBody; ///< Accounts for the memory of m_body.
 };
 
 /// Settings of the connections to backend servers.
@@ -88,6 +90,8 @@
 
     [[nodiscard]] std::shared_ptr<ClientConnection> takeIdleConnection(const ServerId &server, Host::ConnectionUse use, TimePoint now);
     void abandon(Host::AttemptId attempt);
+    /// Ends an attempt to free the body of its request.
+    void freeBody(Host::AttemptId attempt);
     void onResponse(Host::AttemptId id, ResponseEvent event);
     void onProgress(Host::AttemptId id, Attempt &attempt);
     static bool belongsToOtherAttempt(Host::AttemptId id, const Attempt &attempt);
--- a/include/ragwortrelay/loop/clientconnection.h
+++ b/include/ragwortrelay/loop/clientconnection.h
@@ -41,7 +41,7 @@
 
     /// Sends a request. Precondition: no request is in progress.
     /// @param head request head with its terminating empty line
-    /// @param body request body, or null for none; kept alive until it is sent
+    /// @param body request body, or null for none; kept alive until it is sent and no longer
     /// @param handler called for each event up to Whole or Failed, and never after detach()
     void send(std::string head, std::shared_ptr<const std::string> body, Http::ResponseBody responseBody, Handler handler);
 
--- /dev/null
+++ b/include/ragwortrelay/loop/heldbody.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <ragwortrelay/loop/callerbudget.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace RagwortRelay::Loop {
+
+/// Body of a request. The connection of its caller accounts for it; when that has let go of it while an attempt goes on, it accounts for itself in the budget
+/// until its memory is freed. Not thread-safe.
+class HeldBody
+{
+public:
+    /// @param arrivedAt time at which the body was complete; the longer ago, the earlier the budget releases it
+    HeldBody(std::string bytes, std::shared_ptr<CallerBudget> budget, std::string address, TimePoint arrivedAt);
+    ~HeldBody();
+    HeldBody(const HeldBody &) = delete;
+    HeldBody &operator=(const HeldBody &) = delete;
+
+    /// Returns the bytes, which keep the whole body alive.
+    static std::shared_ptr<const std::string> bytesOf(const std::shared_ptr<HeldBody> &body);
+
+    /// Sets a function that ends the attempt that uses the body. Without one the budget can't free the body.
+    void setRelease(std::function<void()> release);
+
+    /// Lets go of the body for its caller's connection. From now on it accounts for itself if anyone else holds it.
+    static void letGo(std::shared_ptr<HeldBody> body);
+
+private:
+    void release();
+
+    std::string m_bytes;
+    std::shared_ptr<CallerBudget> m_budget;
+    std::string m_address;
+    TimePoint m_arrivedAt;
+    std::function<void()> m_release;
+    CallerBudget::Id m_id = 0; ///< 0 while a caller's connection accounts for the body.
+};
+
+}
--- a/src/loop/backendpool.cpp
+++ b/src/loop/backendpool.cpp
@@ -89,6 +89,9 @@
     const std::shared_ptr<ClientConnection> connection = attempt.m_connection;
     const Host::AttemptId id = action.m_attempt;
     m_attempts.emplace(id, std::move(attempt));
+    if (request.m_heldBody) {
+        request.m_heldBody->setRelease([this, id] { freeBody(id); });
+    }
     const auto body = request.m_head.m_method == "HEAD" ? Http::ResponseBody::None : Http::ResponseBody::Expected;
     connection->send(std::move(head), request.m_body, body, [this, id](ResponseEvent event) { onResponse(id, event); });
     if (isNew) {
@@ -139,6 +142,18 @@
     }
 }
 
+void BackendPool::freeBody(Host::AttemptId attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const std::shared_ptr<ClientConnection> connection = found->second.m_connection;
+    connection->close();
+    m_attempts.erase(found);
+    m_handler(Host::AttemptFailed{attempt, Dispatch::AttemptFailure::Cancelled, connection->hasSent()});
+}
+
 void BackendPool::dropConnections(const ServerId &server)
 {
     const auto found = m_idle.find(server);
--- a/src/loop/callerconnection.cpp
+++ b/src/loop/callerconnection.cpp
@@ -39,8 +39,8 @@
 void CallerConnection::start()
 {
     ErrorCode ignored;
-    const std::string address = m_stream.socket().remote_endpoint(ignored).address().to_string();
-    m_budgetId = m_listener.m_settings.m_budget->add(&m_listener, address, currentTime(), [this](ReleaseReason reason) { release(reason); });
+    m_address = m_stream.socket().remote_endpoint(ignored).address().to_string();
+    m_budgetId = m_listener.m_settings.m_budget->add(&m_listener, m_address, currentTime(), [this](ReleaseReason reason) { release(reason); });
     guarded([this] { startReading(); });
 }
 
@@ -135,7 +135,8 @@
     if (!metadata) {
         return rejectUnreadRequest({400, ErrorId::RequestMalformed, "a header that must be single stands twice"});
     }
-    const auto body = std::make_shared<const std::string>(m_reader->takeBody());
+    const auto heldBody = std::make_shared<HeldBody>(m_reader->takeBody(), m_listener.m_settings.m_budget, m_address, currentTime());
+    const auto body = HeldBody::bytesOf(heldBody);
     if (Http::leaksKey(*metadata, m_reader->head(), *body)) {
         return rejectUnreadRequest({400, ErrorId::RequestMalformed, "the request repeats its key where a backend server would see it"});
     }
@@ -143,6 +144,7 @@
     m_request.m_head = m_reader->head();
     m_request.m_metadata = *metadata;
     m_request.m_body = body;
+    m_request.m_heldBody = heldBody;
     m_headBytes = Http::memorySizeOf(m_request.m_head);
     m_reader.reset();
     m_phase = Phase::Waiting;
@@ -315,8 +317,7 @@
         return forwardBody();
     }
     --m_listener.m_unfinishedResponses;
-    m_request = {};
-    m_headBytes = 0;
+    dropRequest();
     if (!m_keepsAlive) {
         return startLingeringClose();
     }
@@ -371,6 +372,7 @@
         removeExchange();
         m_listener.m_handler(Host::CallerDisconnected{exchange});
     }
+    dropRequest();
 }
 
 void CallerConnection::startTimer(Duration timeout)
@@ -432,6 +434,14 @@
     });
 }
 
+void CallerConnection::dropRequest()
+{
+    std::shared_ptr<HeldBody> body = std::move(m_request.m_heldBody);
+    m_request = {};
+    m_headBytes = 0;
+    HeldBody::letGo(std::move(body));
+}
+
 void CallerConnection::removeExchange()
 {
     m_listener.m_exchanges.erase(std::exchange(m_exchange, 0));
--- a/src/loop/clientconnection.cpp
+++ b/src/loop/clientconnection.cpp
@@ -96,6 +96,7 @@
 void ClientConnection::onWritten(const ErrorCode &error)
 {
     m_isWriting = false;
+    m_body.reset(); // The server may take long to respond.
     if (error && !m_isClosed) {
         // The server may have responded before the complete request was sent; that response is read first.
         m_hasToClose = true;
--- a/tests/loop/callerbudget.cpp
+++ b/tests/loop/callerbudget.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <future>
+
 using namespace RagwortRelay;
 using namespace RagwortRelay::Fakes;
 using namespace std::chrono_literals;
@@ -88,3 +90,62 @@
     sender.join();
     CHECK(caller.receiveAll().ends_with("ok"));
 }
+
+namespace {
+
+/// Returns the memory that a budget counts, read on the thread of the event loop.
+std::uint64_t heldBy(Relay &relay, const std::shared_ptr<Loop::CallerBudget> &budget)
+{
+    std::promise<std::uint64_t> held;
+    relay.post([&](Loop::CallerListener &) { held.set_value(budget->held()); });
+    return held.get_future().get();
+}
+
+/// Sends a request with a body whose attempt goes on after its caller has got a 504.
+void sendAndGiveUp(Relay &relay, std::size_t bodySize)
+{
+    const std::uint64_t exchange = relay.m_requests + 1;
+    const RawSocket caller(relay.address());
+    caller.send("POST /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " + std::to_string(bodySize) + "\r\n\r\n" + std::string(bodySize, 'x'));
+    while (relay.m_requests < exchange) {
+        std::this_thread::sleep_for(1ms);
+    }
+    relay.post([exchange](Loop::CallerListener &listener) {
+        listener.refuse(exchange, {504, ErrorId::RequestDeadlineExceeded, Dispatch::Outcome::Unknown, "the deadline is over", {}});
+    });
+    CHECK(caller.receiveAll().starts_with("HTTP/1.1 504"));
+}
+
+}
+
+// Guards against bodies beyond the bound on memory, 137 MiB in a trial: they weren't counted once their callers had their 504.
+TEST_CASE("regression: the body of an attempt that goes on after its caller has got a 504 wasn't counted")
+{
+    constexpr std::size_t BodySize = 12U << 20U; // More than the kernel takes for a server that doesn't read.
+    const RawListener server;
+    Loop::CallerListenerSettings settings = Relay::callerSettings();
+    settings.m_limits.m_maxBodyBytes = BodySize;
+    settings.m_budget = std::make_shared<Loop::CallerBudget>(Loop::CallerBudgetSettings{30U << 20U, UINT64_MAX});
+    Relay relay(settings, server.address());
+    sendAndGiveUp(relay, BodySize);
+    const RawSocket first(server.accept());
+    CHECK(heldBy(relay, settings.m_budget) >= BodySize);
+
+    SECTION("it is counted until the server has it")
+    {
+        for (std::size_t received = 0; received < BodySize;) {
+            received += first.receiveSome().size();
+        }
+        for (int i = 0; i < 1000 && heldBy(relay, settings.m_budget) > 0; ++i) {
+            std::this_thread::sleep_for(1ms);
+        }
+        CHECK(heldBy(relay, settings.m_budget) < BodySize);
+    }
+    SECTION("beyond the limit the attempt whose caller came first is ended")
+    {
+        sendAndGiveUp(relay, BodySize);
+        sendAndGiveUp(relay, BodySize);
+        CHECK(heldBy(relay, settings.m_budget) <= 30U << 20U);
+        CHECK(settings.m_budget->released(Loop::ReleaseReason::Memory) >= 1);
+    }
+}
