--- a/include/ragwortrelay/detail/host/handlers.h
+++ b/include/ragwortrelay/detail/host/handlers.h
@@ -107,28 +107,6 @@
 /// it.
 void recordLateReply(State &state, const HostId &leader, const Scheduling::PlacementReply &reply, TimePoint now);
 
-// Sub-leases of limits
-
-/// Takes a token for a placement from what this host has of the limit by itself. Returns whether there was one.
-bool takeOwnToken(State &state, const Scheduling::PlacementRequest &placement, TimePoint now);
-
-/// Records as the leader that a host has used a token, whether it was its own or comes from this host.
-/// @param reply reply to the placement; nothing if it is queued or dropped
-void recordTokenUse(
-    State &state, const HostId &host, const Scheduling::PlacementRequest &placement, const std::optional<Scheduling::PlacementReply> &reply, TimePoint now);
-
-/// Grants a follower sub-leases in the reply to its heartbeat.
-std::vector<Limits::Sublease> grantSubleases(State &state, const HostId &follower, TimePoint now);
-
-/// Applies the sub-leases that the leader has granted in a heartbeat.
-void onSubleases(State &state, const Fleet::Heartbeat &heartbeat, TimePoint now, Actions &actions);
-
-/// Sets the share of each limit that this host may grant now.
-void updateShares(State &state, TimePoint now);
-
-/// Returns the next time at which a share of this host ends unless it is renewed.
-TimePoint nextShareEndAt(const State &state);
-
 // Announcements of servers
 
 void onServerClosing(State &state, const ServerClosing &closing, TimePoint now);
--- a/include/ragwortrelay/fleet/leadership.h
+++ b/include/ragwortrelay/fleet/leadership.h
@@ -6,7 +6,6 @@
 #include <ragwortrelay/fleet/membership.h>
 #include <ragwortrelay/fleet/messageage.h>
 #include <ragwortrelay/fleet/messages.h>
-#include <ragwortrelay/limits/sublease.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -30,6 +29,7 @@
     Duration m_followerTimeout{std::chrono::milliseconds(3500)}; ///< Time without a heartbeat after which a leader removes a follower.
     Duration m_discoveryInterval{std::chrono::milliseconds(1000)}; ///< Interval between rounds in which a leader looks for other leaders.
     Duration m_firstDiscoveryDelay{std::chrono::milliseconds(100)}; ///< Time after a start for which hosts that start together may register first.
+    double m_retainedFraction = 0.5; ///< Fraction of its own share that a host uses or leases while an earlier leader may still use the share.
     std::size_t m_discoveryFanout = 3; ///< Hosts that a leader asks about other leaders in one round.
 
     friend bool operator==(const LeadershipSettings &, const LeadershipSettings &) = default;
@@ -39,10 +39,9 @@
 struct Follower {
     FailureDomainId m_domain;
     Incarnation m_incarnation = 0;
-    double m_leasedFraction = 0.0; ///< Fraction of the follower's own share that is leased to this host, 0 or 1.
+    double m_leasedFraction = 0.0; ///< Fraction of the follower's own share that is leased to this host, 0 to 1.
     TimePoint m_leasedUntil; ///< End of the lease by this host's clock, no later than the end that the follower assumes.
     TimePoint m_heardAt; ///< Time of the last heartbeat from the follower.
-    bool m_wantsPart = false; ///< The follower asks for a part of all limits, since it has missed replies.
     bool m_isRegistered = false; ///< Only registered hosts count, since only their shares add up to the whole limit.
     MessageAge m_messageAge; ///< Age of the follower's messages when they are read.
 
@@ -89,12 +88,8 @@
     TimePoint m_nextFollowerCheckAt{}; ///< Next check for followers that have fallen silent.
     std::map<HostId, Contact> m_contacts;
     std::vector<HostId> m_discoveryTargets; ///< Hosts to be asked whom they follow.
-    HostId m_leaseHolder; ///< Leader to which this host last leased its own share; empty for a process that has ended, or for hosts with sub-leases.
+    HostId m_leaseHolder; ///< Leader to which this host last leased its own share.
     TimePoint m_leaseExpiresAt{};
-    TimePoint m_missedReplyAt{}; ///< Last time that a message to the leader had no reply in time.
-    TimePoint m_lentUntil{}; ///< End of the last sub-lease that this host has granted.
-    std::optional<TimePoint> m_startedAt; ///< First event of this process.
-    TimePoint m_ledSince{}; ///< Time at which this process last began to lead. Earlier heartbeats, which may come late, lease it nothing.
     TimePoint m_nextDiscoveryAt{};
     bool m_isStoreReader = false; ///< The leader has appointed this host to read the store.
 };
@@ -143,19 +138,6 @@
 /// constant time between a tick() and the next change of a follower, else time linear in the followers.
 double shareOf(const Leadership &leadership, TimePoint now);
 
-/// Returns the parts of each limit that this leader may use, with their ends. Linear in the followers.
-std::vector<Limits::LeasedPart> leasedParts(const Leadership &leadership, TimePoint now);
-
-/// Records that sub-leases were granted that may be in use until a point in time. What covers them isn't used otherwise until then, even if this host no longer
-/// leads. Not thread-safe on one state.
-void recordLent(Leadership &leadership, TimePoint until);
-
-/// Records that the leader hasn't replied in time. For a while this host then asks it for a part of all limits. Not thread-safe on one state.
-void recordMissedReply(Leadership &leadership, TimePoint now);
-
-/// Returns the next time after a given one at which the share of this host changes unless a lease is renewed.
-TimePoint nextShareChangeAt(const Leadership &leadership, TimePoint after);
-
 /// Returns whether a follower has leased its whole share to this host, so that it counts for no other leader.
 bool isFullyLeased(const Follower &follower, TimePoint now);
 
--- a/include/ragwortrelay/fleet/messages.h
+++ b/include/ragwortrelay/fleet/messages.h
@@ -4,7 +4,6 @@
 #include <ragwortrelay/core/time.h>
 #include <ragwortrelay/dispatch/crashsuspects.h>
 #include <ragwortrelay/fleet/membership.h>
-#include <ragwortrelay/limits/sublease.h>
 #include <ragwortrelay/scheduling/placementrequest.h>
 
 #include <cstdint>
@@ -67,8 +66,7 @@
     Duration m_heldFor{}; ///< Time between the receipt of the echoed heartbeat and the sending of this one.
     FailureDomainId m_domain; ///< Failure domain of the sender.
     HostId m_leader; ///< Host that the sender follows; the sender itself if it leads.
-    double m_leasedFraction = 0.0; ///< 1 if the heartbeat leases the sender's own share to m_leader, or renews the lease; 0 if it doesn't change a lease.
-    bool m_hasLent = false; ///< Sub-leases that the sender has granted may still be in use.
+    double m_leasedFraction = 0.0; ///< Fraction of the sender's own share that is leased to m_leader, 0 to 1.
     std::uint32_t m_followers = 0; ///< From a leader: followers whose lease is running.
     std::uint32_t m_reachableHosts = 0; ///< From a leader: hosts that it hears, including itself.
     std::uint64_t m_minConfigurationVersion = 0; ///< From a leader: lowest version of the configuration on the reachable hosts.
@@ -80,9 +78,6 @@
     std::vector<std::uint64_t> m_running; ///< From a follower: placements whose attempts are running.
     std::vector<SuspicionReport> m_suspicions; ///< From a leader: servers under suspicion.
     std::vector<std::uint64_t> m_quarantined; ///< From a leader: fingerprints of requests that crash servers.
-    bool m_wantsPart = false; ///< From a follower that has missed replies lately: it asks for a part of all limits.
-    std::vector<Limits::Sublease> m_subleases; ///< From a leader: parts of limits that it lends to the receiver, from the echoed heartbeat on.
-                                               ///< An entry without a workspace is a part of all limits and retry budgets.
     std::vector<Scheduling::LeavingServer> m_leaving; ///< Between a leader and its followers: servers that have announced that they are leaving.
 
     friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
@@ -96,7 +91,6 @@
                         self.m_domain,
                         self.m_leader,
                         self.m_leasedFraction,
-                        self.m_hasLent,
                         self.m_followers,
                         self.m_reachableHosts,
                         self.m_minConfigurationVersion,
@@ -108,8 +102,6 @@
                         self.m_running,
                         self.m_suspicions,
                         self.m_quarantined,
-                        self.m_wantsPart,
-                        self.m_subleases,
                         self.m_leaving);
     }
 };
--- a/include/ragwortrelay/host/settings.h
+++ b/include/ragwortrelay/host/settings.h
@@ -5,7 +5,6 @@
 #include <ragwortrelay/dispatch/claimledger.h>
 #include <ragwortrelay/fleet/leadership.h>
 #include <ragwortrelay/fleet/replytimeout.h>
-#include <ragwortrelay/limits/sublease.h>
 #include <ragwortrelay/limits/throttle.h>
 #include <ragwortrelay/scheduling/scheduler.h>
 
@@ -24,7 +23,6 @@
     double m_resendRatio = 0.2; ///< Resends that each placement request allows. A leader that is behind would get twice as many messages otherwise.
     Fleet::ReplyTimeoutSettings m_leaderTimeout; ///< Time without a reply of the leader after which the host decides by itself.
     Limits::ThrottleSettings m_throttle; ///< Refusal of requests of workspaces over their limits without asking the leader.
-    Limits::SubleaseSettings m_subleases; ///< Parts of limits that a leader lends to the hosts that use them.
     Duration m_askInterval{std::chrono::milliseconds(250)}; ///< Interval between two requests for a placement that the leader has queued.
 
     friend bool operator==(const PlacementSettings &, const PlacementSettings &) = default;
--- a/include/ragwortrelay/host/state.h
+++ b/include/ragwortrelay/host/state.h
@@ -295,11 +295,6 @@
     std::unordered_map<std::uint64_t, PendingPlacement> m_placements; ///< Placements that wait for their replies, by number.
     std::map<WorkspaceId, ThrottledWorkspace> m_throttled; ///< Workspaces that the present leader has refused as over their limits.
     std::map<std::uint64_t, OverduePlacement> m_overduePlacements; ///< Placements whose replies may still come, by number.
-    Limits::Lender m_lender; ///< Sub-leases that this host has granted as the leader.
-    Limits::Borrowings m_borrowings; ///< Sub-leases that this host holds.
-    TimePoint m_shareChangesUntil{}; ///< Time until which the scheduler's changes of shares by sub-leases stay true.
-    double m_changeOfAllShares = 0.0; ///< Part of all limits that this host has borrowed, or lent if negative.
-    TimePoint m_lenderCheckedAt{}; ///< Last removal of what the lender no longer needs.
     TimePoint m_throttledCheckedAt{}; ///< Last removal of workspaces that are no longer throttled.
     std::multimap<TimePoint, Timer> m_timers;
     Dispatch::ClaimLedger m_claims;
--- a/include/ragwortrelay/scheduling/placementrequest.h
+++ b/include/ragwortrelay/scheduling/placementrequest.h
@@ -46,7 +46,6 @@
     std::vector<ServerId> m_excluded; ///< Servers that earlier attempts of the request have tried.
     std::uint64_t m_bodyBytes = 0; ///< Size of the request's body.
     Duration m_sentAt{}; ///< Time of sending by the sender's clock.
-    bool m_hasToken = false; ///< The sender has taken a token of the workspace from its own part of the limit.
     Duration m_replyWait{}; ///< Time for which the sender waits for the reply before it decides by itself.
 
     friend bool operator==(const PlacementRequest &, const PlacementRequest &) = default;
@@ -66,7 +65,6 @@
                         self.m_excluded,
                         self.m_bodyBytes,
                         self.m_sentAt,
-                        self.m_hasToken,
                         self.m_replyWait);
     }
 };
--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -69,7 +69,6 @@
     std::map<HostId, FailureDomainId> m_hostDomains; ///< Failure domains of the hosts that have sent placement requests or reports.
     std::uint64_t m_phaseSeed = 0; ///< Seed of the phases of the token buckets; differs between hosts.
     double m_share = 1.0; ///< Part of each limit and budget that this scheduler may grant, 0 to 1.
-    std::map<WorkspaceId, double> m_shareChanges; ///< Parts of the limits of single workspaces that are borrowed, or lent if negative.
     TimePoint m_overdueCheckedAt{}; ///< Last check for attempts that run for too long.
     TimePoint m_nextTokenCheckAt{}; ///< Time of the next check of the placements that wait for tokens.
 };
@@ -87,13 +86,6 @@
 /// Sets the part of each limit and budget that this scheduler may grant, 0 to 1.
 void setShare(Scheduler &scheduler, double share, TimePoint now);
 
-/// Sets what is added to the share of the limits of single workspaces, or taken from it if negative. Others have the share alone. Linear in the workspaces with
-/// a change.
-void setShareChanges(Scheduler &scheduler, const std::map<WorkspaceId, double> &changes, TimePoint now);
-
-/// Takes a token of the workspace of a first attempt if one is available and no placement waits for one. Returns whether it did.
-bool takeToken(Scheduler &scheduler, const PlacementRequest &placement, TimePoint now);
-
 /// Reply with the host that receives it.
 struct AddressedReply {
     HostId m_host;
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -1,7 +1,6 @@
 #include <ragwortrelay/fleet/leadership.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace RagwortRelay::Fleet {
 
@@ -28,12 +27,7 @@
     if (leadership.m_leader == leader) {
         return;
     }
-    if (isLeader(leadership) && now < leadership.m_lentUntil) { // This host's own part covers a part of what it has lent.
-        leadership.m_leaseHolder = {};
-        leadership.m_leaseExpiresAt = std::max(leadership.m_leaseExpiresAt, leadership.m_lentUntil);
-    }
     leadership.m_leader = leader;
-    leadership.m_ledSince = now;
     leadership.m_followers.clear();
     leadership.m_leases = {};
     leadership.m_unacknowledged = 0;
@@ -93,27 +87,12 @@
     followLeader(leadership, leadership.m_self, now);
 }
 
-/// Returns the fraction of this host's own share that it may use or lease to a leader: all of it, or none while an earlier leader may still use it.
+/// Returns the fraction of this host's own share that it may use or lease to a leader: all of it, unless an earlier leader may still use
+/// it.
 double availableFraction(const Leadership &leadership, const HostId &leader, TimePoint now)
 {
     const bool isLeasedElsewhere = leadership.m_leaseHolder != leader && now < leadership.m_leaseExpiresAt;
-    return isLeasedElsewhere ? 0.0 : 1.0;
-}
-
-/// Records the first event of the process.
-void recordStart(Leadership &leadership, TimePoint now)
-{
-    if (!leadership.m_startedAt) {
-        leadership.m_startedAt = now;
-        leadership.m_ledSince = now;
-    }
-}
-
-/// Tells whether a heartbeat echoes one that this process has sent since it last began to lead. Only then does its sender know whom it leases its share to.
-bool isEchoSinceLeading(const Leadership &leadership, const Heartbeat &heartbeat, TimePoint now)
-{
-    const TimePoint echo(heartbeat.m_echo);
-    return isLeader(leadership) && echo >= leadership.m_ledSince && echo <= now;
+    return isLeasedElsewhere ? leadership.m_settings.m_retainedFraction : 1.0;
 }
 
 void releaseLease(Leadership &leadership, const HostId &leader)
@@ -139,13 +118,12 @@
         follower.m_incarnation = incarnation;
     }
     follower.m_domain = heartbeat.m_domain;
-    follower.m_wantsPart = heartbeat.m_wantsPart;
     follower.m_heardAt = now;
     follower.m_isRegistered = isKnown(leadership, from);
     recordMessage(follower.m_messageAge, heartbeat.m_sentAt, now);
     const auto writtenAt = writtenAfter(heartbeat);
-    if (writtenAt && heartbeat.m_leasedFraction == 1.0 && isEchoSinceLeading(leadership, heartbeat, now)) {
-        follower.m_leasedFraction = 1.0;
+    if (writtenAt) {
+        follower.m_leasedFraction = heartbeat.m_leasedFraction;
         follower.m_leasedUntil = std::max(follower.m_leasedUntil, *writtenAt + leadership.m_settings.m_leaseDuration);
     }
 }
@@ -182,11 +160,6 @@
     if (leadership.m_leaseHolder != leader && now < leadership.m_leaseExpiresAt) {
         leadership.m_nextHeartbeatAt = std::min(leadership.m_nextHeartbeatAt, leadership.m_leaseExpiresAt); // From then on the whole share can be leased.
     }
-    constexpr Duration RenewalMargin = std::chrono::milliseconds(700); // A lease that a repeated heartbeat hasn't renewed is renewed this long before its end.
-    if (leadership.m_leaseHolder == leader) {
-        const TimePoint renewAt = leadership.m_leaseExpiresAt - RenewalMargin;
-        leadership.m_nextHeartbeatAt = std::max(now, std::min(leadership.m_nextHeartbeatAt, renewAt));
-    }
     if (std::exchange(leadership.m_expeditesNext, false)) {
         leadership.m_nextHeartbeatAt = now;
     }
@@ -195,10 +168,7 @@
         leadership.m_undecidedReplies = 0;
         return;
     }
-    const bool isLatest = heartbeat.m_echo == leadership.m_leaderContactedAt.time_since_epoch(); // Earlier replies may come late.
-    if (isLatest && !heartbeat.m_hasLent) {
-        releaseLease(leadership, leader); // It doesn't lead, so it uses only its own share.
-    }
+    releaseLease(leadership, leader); // It doesn't lead, so it uses only its own share.
     if (isSilent(leadership, heartbeat.m_leader, now) && leadership.m_undecidedReplies < leadership.m_settings.m_maxUndecidedReplies) {
         ++leadership.m_undecidedReplies; // It hasn't noticed the loss of its leader yet, or this host was wrong about the loss.
         leadership.m_disputedLeader = heartbeat.m_leader;
@@ -260,9 +230,6 @@
             return {};
         }
     }
-    if (leadership.m_unacknowledged > 0 && leadership.m_acknowledgedAt) {
-        recordMissedReply(leadership, now);
-    }
     ++leadership.m_unacknowledged;
     leadership.m_currentInterval = randomInterval(leadership.m_settings, random);
     leadership.m_nextHeartbeatAt = now + replyTimeoutOf(leadership);
@@ -292,17 +259,8 @@
 
 void setMembership(Leadership &leadership, const Membership &membership, TimePoint now)
 {
-    recordStart(leadership, now);
     Membership members = membership;
-    const bool wasRegistered = std::exchange(leadership.m_isRegistered, members.contains(leadership.m_self));
-    const bool isNewlyNamed = leadership.m_isRegistered && !wasRegistered;
-    if (isNewlyNamed && members.size() > 1) {
-        // An earlier process may have leased this host's share, or lent those of others; hosts that don't know this one yet use larger parts.
-        const Duration lease = leadership.m_settings.m_leaseDuration;
-        const TimePoint since = now - *leadership.m_startedAt < lease ? *leadership.m_startedAt : now;
-        leadership.m_leaseExpiresAt = std::max(leadership.m_leaseExpiresAt, since + lease);
-        leadership.m_leaseHolder = {};
-    }
+    leadership.m_isRegistered = members.contains(leadership.m_self);
     members.try_emplace(leadership.m_self);
     const bool knewNoHosts = leadership.m_ranking.size() == 1;
     leadership.m_ranking = ranking(members);
@@ -321,7 +279,6 @@
 
 std::vector<HeartbeatRequest> tick(Leadership &leadership, RandomGenerator &random, TimePoint now)
 {
-    recordStart(leadership, now);
     std::erase_if(leadership.m_silentUntil, [&](const auto &entry) { return entry.second <= now; });
     if (!isLeader(leadership)) {
         leadership.m_discoveryTargets.clear();
@@ -350,15 +307,10 @@
     }
     heartbeat.m_leader = leadership.m_leader;
     heartbeat.m_wantsReply = request.m_wantsReply;
-    heartbeat.m_hasLent = now < leadership.m_lentUntil;
     heartbeat.m_followers = static_cast<std::uint32_t>(followersOf(leadership, now));
     if (request.m_host == leadership.m_leader) {
-        constexpr Duration UnreliableTime = std::chrono::seconds(10);
         leadership.m_leaderContactedAt = now;
-        heartbeat.m_wantsPart = leadership.m_missedReplyAt != TimePoint{} && now - leadership.m_missedReplyAt < UnreliableTime;
-        // A host that hasn't replied as the leader, or not to the last heartbeat, may be lost, and the share would be out of use until the end of the lease.
-        const bool hasReplied = leadership.m_acknowledgedAt && leadership.m_unacknowledged <= 1;
-        heartbeat.m_leasedFraction = hasReplied ? availableFraction(leadership, leadership.m_leader, now) : 0.0;
+        heartbeat.m_leasedFraction = availableFraction(leadership, leadership.m_leader, now);
         if (heartbeat.m_leasedFraction == 1.0) {
             leadership.m_leaseHolder = leadership.m_leader;
             leadership.m_leaseExpiresAt = now + leadership.m_settings.m_leaseDuration;
@@ -369,14 +321,11 @@
 
 bool receiveHeartbeat(Leadership &leadership, const HostId &from, Incarnation incarnation, const Heartbeat &heartbeat, TimePoint now)
 {
-    recordStart(leadership, now);
     Contact &contact = leadership.m_contacts[from];
     if (contact.m_incarnation != incarnation) {
         contact = {};
         contact.m_incarnation = incarnation;
-        if (leadership.m_leaseHolder == from) {
-            leadership.m_leaseHolder = {}; // The process that held the lease has ended, but what it has lent may be in use until the end of the lease.
-        }
+        releaseLease(leadership, from); // The process that held the lease has ended.
     }
     if (heartbeat.m_sentAt > contact.m_sentAt) {
         contact.m_sentAt = heartbeat.m_sentAt;
@@ -431,47 +380,12 @@
     const double own = leadership.m_isRegistered ? 1.0 : 0.0;
     if (!isLeader(leadership)) {
         const bool isLeased = now < leadership.m_leaseExpiresAt;
-        return isLeased ? 0.0 : own / hostCount;
+        return own * (isLeased ? leadership.m_settings.m_retainedFraction : 1.0) / hostCount;
     }
     const double shares = own * availableFraction(leadership, leadership.m_self, now) + leasesOf(leadership, now).m_fractions;
     return std::min(1.0, shares / hostCount);
 }
 
-std::vector<Limits::LeasedPart> leasedParts(const Leadership &leadership, TimePoint now)
-{
-    std::vector<Limits::LeasedPart> parts;
-    if (!isLeader(leadership)) {
-        return parts;
-    }
-    const double part = 1.0 / static_cast<double>(std::max<std::size_t>(1, leadership.m_ranking.size()));
-    if (leadership.m_isRegistered && availableFraction(leadership, leadership.m_self, now) == 1.0) {
-        parts.push_back({part, TimePoint::max()});
-    }
-    for (const auto &[host, follower] : leadership.m_followers) {
-        if (follower.m_isRegistered && now < follower.m_leasedUntil) {
-            parts.push_back({part * follower.m_leasedFraction, follower.m_leasedUntil});
-        }
-    }
-    return parts;
-}
-
-void recordLent(Leadership &leadership, TimePoint until)
-{
-    leadership.m_lentUntil = std::max(leadership.m_lentUntil, until);
-}
-
-void recordMissedReply(Leadership &leadership, TimePoint now)
-{
-    leadership.m_missedReplyAt = now;
-}
-
-TimePoint nextShareChangeAt(const Leadership &leadership, TimePoint after)
-{
-    const TimePoint ownEnd = leadership.m_leaseExpiresAt > after ? leadership.m_leaseExpiresAt : TimePoint::max();
-    const bool hasLeases = isLeader(leadership) && leadership.m_leases.m_validUntil > after;
-    return hasLeases ? std::min(ownEnd, leadership.m_leases.m_validUntil) : ownEnd;
-}
-
 bool isFullyLeased(const Follower &follower, TimePoint now)
 {
     return follower.m_isRegistered && follower.m_leasedFraction == 1.0 && now < follower.m_leasedUntil;
--- a/src/host/fleet.cpp
+++ b/src/host/fleet.cpp
@@ -92,10 +92,6 @@
             heartbeat.m_suspicions = state.m_suspicionReports.m_reports;
             heartbeat.m_quarantined = Scheduling::quarantinedRequests(state.m_scheduler, now);
             heartbeat.m_leaving = leavingReports(state);
-            if (!request.m_wantsReply) {
-                heartbeat.m_subleases = grantSubleases(state, request.m_host, now);
-                heartbeat.m_hasLent = now < state.m_leadership.m_lentUntil;
-            }
         }
     } else if (request.m_host == state.m_leadership.m_leader) {
         heartbeat.m_running = runningPlacements(state, request.m_host);
@@ -173,7 +169,6 @@
     applyLeavingReports(state, from, heartbeat, now, actions);
     if (from == state.m_leadership.m_leader) {
         onLeaderHeard(state, incarnation, now);
-        onSubleases(state, heartbeat, now, actions);
         applySuspicionReports(state, heartbeat, now);
         Scheduling::quarantineRequests(state.m_scheduler, heartbeat.m_quarantined, now);
         applyRollout(state, heartbeat);
@@ -323,7 +318,7 @@
     manageStoreReaders(state, now, actions);
     state.m_lastTick = now;
     state.m_hasHadQuorum = state.m_hasHadQuorum || hasQuorum(state, now);
-    updateShares(state, now);
+    Scheduling::setShare(state.m_scheduler, Fleet::shareOf(state.m_leadership, now), now);
 }
 
 }
--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -173,7 +173,6 @@
 {
     Actions actions;
     state.m_startedAt = state.m_startedAt.value_or(now);
-    detail::updateShares(state, now); // A lease may have ended since the last event.
     std::visit(
         [&](const auto &typed) {
             using Type = std::decay_t<decltype(typed)>;
@@ -231,8 +230,7 @@
     }
     next = std::min({next, detail::nextStoreCallAt(state), detail::nextEditsAt(state), detail::nextClaimsAt(state)});
     if (!state.m_settings.m_peerAddress.empty()) {
-        next = std::min(
-            {next, Fleet::nextTickAt(state.m_leadership), detail::nextStoreReadersAt(state), detail::nextSeedsAt(state), detail::nextShareEndAt(state)});
+        next = std::min({next, Fleet::nextTickAt(state.m_leadership), detail::nextStoreReadersAt(state), detail::nextSeedsAt(state)});
     }
     const auto &confirmedAt = detail::tableOf(state, Fleet::TableKind::Configuration).m_replica.m_confirmedAt;
     if (state.m_ready && confirmedAt) {
--- a/src/host/metrics.cpp
+++ b/src/host/metrics.cpp
@@ -62,8 +62,6 @@
     gauges["draw_age_seconds"] = state.m_placementAge;
     gauges["server_selections"] = static_cast<double>(state.m_scheduler.m_selections);
     gauges["limits_share"] = state.m_scheduler.m_share;
-    gauges["limits_lent"] = static_cast<double>(state.m_lender.m_limits.size());
-    gauges["limits_borrowed"] = static_cast<double>(state.m_borrowings.size());
     gauges["crash_suspects"] = static_cast<double>(state.m_scheduler.m_suspects.m_crashes.size());
     gauges["crash_candidates"] = static_cast<double>(state.m_scheduler.m_suspects.m_candidates.size());
     gauges["requests_quarantined"] = static_cast<double>(Scheduling::quarantinedRequests(state.m_scheduler, now).size());
--- a/src/host/placements.cpp
+++ b/src/host/placements.cpp
@@ -129,12 +129,11 @@
     const bool isAlive = now - state.m_leadership.m_leaderHeardAt < state.m_settings.m_leadership.m_signOfLifeDuration;
     const auto bucket = state.m_scheduler.m_buckets.find(pending.m_placement.m_workspace);
     const bool isLimited = pending.m_placement.m_purpose == AttemptKind::First && bucket != state.m_scheduler.m_buckets.end();
-    if (pending.m_isQueued || pending.m_isExtended || !isAlive || !isLimited || pending.m_placement.m_hasToken) {
+    if (pending.m_isQueued || pending.m_isExtended || !isAlive || !isLimited) {
         return std::nullopt;
     }
     Limits::TokenBucket refilled = bucket->second;
-    const bool isAnnounced = pending.m_placement.m_replyWait > pending.m_decideAt - pending.m_sentAt; // The leader may grant a server until then.
-    if (!isAnnounced && Limits::takeToken(refilled, now)) {
+    if (Limits::takeToken(refilled, now)) {
         return std::nullopt;
     }
     const Duration spare = pending.m_placement.m_objectiveLeft - Scheduling::usualTimeOf(state.m_scheduler, pending.m_placement.m_service);
@@ -218,9 +217,6 @@
 void onStaleRequest(State &state, const HostId &from, const PlacementRequest &placement, TimePoint now)
 {
     Reporting::count(state.m_counters, "draws_stale");
-    if (placement.m_hasToken) {
-        return recordTokenUse(state, from, placement, std::nullopt, now);
-    }
     if (const auto refusal = Scheduling::refuseIfOverLimit(state.m_scheduler, placement, now)) {
         sendTo(state, from, *refusal);
     }
@@ -253,11 +249,10 @@
         cancelPlacement(state, *exchange.m_placement);
     }
     const bool isLeaderAsked = asksLeader(state, now);
-    PlacementRequest placement = placementRequestFor(state, exchange, ++state.m_lastPlacement, purpose, now);
-    placement.m_hasToken = isLeaderAsked && takeOwnToken(state, placement, now);
-    if (const auto throttled = isLeaderAsked && !placement.m_hasToken ? throttle(state, exchange.m_workspace, purpose, now, actions) : std::nullopt) {
+    if (const auto throttled = isLeaderAsked ? throttle(state, exchange.m_workspace, purpose, now, actions) : std::nullopt) {
         return refuseThrottled(state, id, *throttled, now, actions);
     }
+    const PlacementRequest placement = placementRequestFor(state, exchange, ++state.m_lastPlacement, purpose, now);
     exchange.m_placement = placement.m_number;
     PendingPlacement &pending = state.m_placements[placement.m_number];
     pending = {id, placement, {}, now, now + leaderTimeoutOf(state, placement), 0, false, false};
@@ -312,7 +307,6 @@
         return extendWait(state, pending, *until, now);
     }
     Reporting::count(state.m_counters, "draws_unanswered");
-    Fleet::recordMissedReply(state.m_leadership, now);
     if (!hasLeaderChanged) {
         state.m_leaderTimeout = Fleet::afterTimeout(state.m_leaderTimeout, state.m_settings.m_placements.m_leaderTimeout, state.m_random, now);
     }
@@ -366,7 +360,6 @@
             return onStaleRequest(state, from, placement, now);
         }
         reply = Scheduling::placement(state.m_scheduler, sentEarlier(placement, age), requesterOf(state, from), state.m_random, now);
-        recordTokenUse(state, from, placement, reply, now);
         logPlacement(state, from, placement, reply, now, actions);
     }
     if (!reply) {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -71,13 +71,6 @@
     return static_cast<double>(hashOf(id.text(), seed)) / std::pow(2.0, std::numeric_limits<std::uint64_t>::digits);
 }
 
-/// Returns the part of the limit of a workspace that a scheduler may grant.
-double shareOfLimit(const Scheduler &scheduler, const WorkspaceId &id)
-{
-    const auto change = scheduler.m_shareChanges.find(id);
-    return std::clamp(scheduler.m_share + (change == scheduler.m_shareChanges.end() ? 0.0 : change->second), 0.0, 1.0);
-}
-
 void setLimit(Scheduler &scheduler, const WorkspaceId &id, const Configuration::Workspace *workspace, TimePoint now)
 {
     if (workspace == nullptr || !workspace->m_isLimited) {
@@ -86,7 +79,7 @@
     }
     const auto [bucket, isNew] = scheduler.m_buckets.try_emplace(id);
     if (isNew) {
-        bucket->second.m_share = shareOfLimit(scheduler, id);
+        bucket->second.m_share = scheduler.m_share;
         bucket->second.m_phase = phaseOf(scheduler.m_phaseSeed, id);
         bucket->second.m_refilledAt = now;
     }
@@ -150,33 +143,10 @@
     }
     scheduler.m_share = share;
     for (auto &[id, bucket] : scheduler.m_buckets) {
-        Limits::setShare(bucket, shareOfLimit(scheduler, id), now);
+        Limits::setShare(bucket, share, now);
     }
 }
 
-void setShareChanges(Scheduler &scheduler, const std::map<WorkspaceId, double> &changes, TimePoint now)
-{
-    if (changes == scheduler.m_shareChanges) {
-        return;
-    }
-    const auto before = std::exchange(scheduler.m_shareChanges, changes);
-    const auto update = [&](const auto &entry) {
-        const auto bucket = scheduler.m_buckets.find(entry.first);
-        if (bucket != scheduler.m_buckets.end()) {
-            Limits::setShare(bucket->second, shareOfLimit(scheduler, entry.first), now);
-        }
-    };
-    std::ranges::for_each(before, update);
-    std::ranges::for_each(changes, update);
-}
-
-bool takeToken(Scheduler &scheduler, const PlacementRequest &placement, TimePoint now)
-{
-    const auto bucket = scheduler.m_buckets.find(placement.m_workspace);
-    const bool isLimited = placement.m_purpose == AttemptKind::First && bucket != scheduler.m_buckets.end();
-    return isLimited && !scheduler.m_awaitingTokens.contains(placement.m_workspace) && Limits::takeToken(bucket->second, now);
-}
-
 std::optional<PlacementReply>
 placement(Scheduler &scheduler, const PlacementRequest &placement, const Requester &requester, RandomGenerator &random, TimePoint now)
 {
--- a/src/scheduling/tokens.cpp
+++ b/src/scheduling/tokens.cpp
@@ -31,7 +31,7 @@
 LimitOutcome takeWorkspaceToken(Scheduler &scheduler, const PlacementRequest &placement, const Requester &requester, TimePoint now)
 {
     const auto bucket = scheduler.m_buckets.find(placement.m_workspace);
-    if (placement.m_purpose != AttemptKind::First || bucket == scheduler.m_buckets.end() || placement.m_hasToken) {
+    if (placement.m_purpose != AttemptKind::First || bucket == scheduler.m_buckets.end()) {
         return LimitOutcome::Passed;
     }
     const std::size_t ahead = countAhead(scheduler, placement);
