Try placements of hosts without a known domain when a slot becomes free

With a price between failure domains, a freed slot unblocked only the waiting placements of the server's own domain. A host that the leader doesn't know as a follower yet has none, no price applies to it, and its placements waited for the next full check, up to 20 ms, although they could use the slot.

The new test fails without the condition (d2 and the empty domain stay blocked); all tests of scheduling pass.

--- a/include/ragwortrelay/scheduling/placementqueue.h
+++ b/include/ragwortrelay/scheduling/placementqueue.h
@@ -103,7 +103,7 @@
 }
 
 /// Records that a server has a free slot after it had none. The next check tries it with the blocked classes.
-/// @param domain failure domain of the server if a price keeps other requests away from it; the other classes stay blocked
+/// @param domain failure domain of the server if a price keeps requests of others away from it; the classes of others stay blocked
 void noteFreedSlot(PlacementQueue &queue, const ServerId &server, const std::optional<FailureDomainId> &domain, TimePoint now);
 
 /// Returns the id of a queued placement. Thread-safe.
--- a/src/scheduling/placementqueue.cpp
+++ b/src/scheduling/placementqueue.cpp
@@ -116,7 +116,9 @@
     if (queue.m_freed.size() < MaxFreed && std::ranges::find(queue.m_freed, server) == queue.m_freed.end()) {
         queue.m_freed.push_back(server);
     }
-    std::erase_if(queue.m_blocked, [&](const PlacementClass &blocked) { return !domain || blocked.m_domain == *domain; });
+    std::erase_if(queue.m_blocked, [&](const PlacementClass &blocked) {
+        return !domain || blocked.m_domain == *domain || blocked.m_domain.isEmpty(); // No price applies to a requester without a known failure domain.
+    });
     queue.m_nextCheckAt = now;
 }
 
--- a/tests/scheduling/placementqueue.cpp
+++ b/tests/scheduling/placementqueue.cpp
@@ -97,6 +97,26 @@
     CHECK(total <= Events);
 }
 
+// Guards against placements of hosts that don't follow the leader yet, which wait for the next full check although they may use any server.
+TEST_CASE("a freed slot unblocks the placements that may use it")
+{
+    PlacementQueue queue;
+    const auto classIn = [](const std::string &domain) { return PlacementClass{FailureDomainId(domain), true, 0, {}}; };
+    queue.m_blocked = {classIn("d1"), classIn("d2"), classIn("")};
+
+    SECTION("with a price, those of its failure domain and of no known one")
+    {
+        noteFreedSlot(queue, ServerId("s1"), FailureDomainId("d1"), TimePoint(seconds(1)));
+        CHECK(queue.m_blocked == std::set{classIn("d2")});
+    }
+    SECTION("without a price, all")
+    {
+        noteFreedSlot(queue, ServerId("s1"), std::nullopt, TimePoint(seconds(1)));
+        CHECK(queue.m_blocked.empty());
+    }
+    CHECK(queue.m_freed == std::vector{ServerId("s1")});
+}
+
 // Guards against an order that depends on the grouping of the queue: a less urgent placement must not go first, nor one that fair queueing starts later.
 TEST_CASE("the next placement of a queue is the one that a queue without classes would serve")
 {
