End all attempts that hold a body when its memory is to be freed

A body that counts by itself after its caller got a 504 knew only the latest attempt that uses it. With a hedge beside the first attempt, the budget ended the hedge, took the body off its books, and the first attempt kept the memory. Each attempt adds its function now.

The new test fails with the latest function alone (the bytes aren't freed); all tests of the loop pass.

--- a/include/ragwortrelay/loop/heldbody.h
+++ b/include/ragwortrelay/loop/heldbody.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace RagwortRelay::Loop {
 
@@ -22,8 +23,8 @@
     /// Returns the bytes, which keep the whole body alive.
     static std::shared_ptr<const std::string> bytesOf(const std::shared_ptr<HeldBody> &body);
 
-    /// Sets a function that ends the attempt that uses the body. Without one the budget can't free the body.
-    void setRelease(std::function<void()> release);
+    /// Adds a function that ends an attempt that uses the body. It is called after the end of that attempt, too. Without one the budget can't free the body.
+    void addRelease(std::function<void()> release);
 
     /// Lets go of the body for its caller's connection. From now on it accounts for itself if anyone else holds it.
     static void letGo(std::shared_ptr<HeldBody> body);
@@ -35,7 +36,7 @@
     std::shared_ptr<CallerBudget> m_budget;
     std::string m_address;
     TimePoint m_arrivedAt;
-    std::function<void()> m_release;
+    std::vector<std::function<void()>> m_releases; ///< One for each attempt: a retry or a hedge may use the body beside an earlier attempt.
     CallerBudget::Id m_id = 0; ///< 0 while a caller's connection accounts for the body.
 };
 
--- a/src/loop/backendpool.cpp
+++ b/src/loop/backendpool.cpp
@@ -90,7 +90,7 @@
     const Host::AttemptId id = action.m_attempt;
     m_attempts.emplace(id, std::move(attempt));
     if (request.m_heldBody) {
-        request.m_heldBody->setRelease([this, id] { freeBody(id); });
+        request.m_heldBody->addRelease([this, id] { freeBody(id); });
     }
     const auto body = request.m_head.m_method == "HEAD" ? Http::ResponseBody::None : Http::ResponseBody::Expected;
     connection->send(std::move(head), request.m_body, body, [this, id](ResponseEvent event) { onResponse(id, event); });
--- a/src/loop/heldbody.cpp
+++ b/src/loop/heldbody.cpp
@@ -19,9 +19,9 @@
     return {body, &body->m_bytes};
 }
 
-void HeldBody::setRelease(std::function<void()> release)
+void HeldBody::addRelease(std::function<void()> release)
 {
-    m_release = std::move(release);
+    m_releases.push_back(std::move(release));
 }
 
 void HeldBody::letGo(std::shared_ptr<HeldBody> body)
@@ -36,12 +36,14 @@
 
 void HeldBody::release()
 {
-    const auto release = std::exchange(m_release, nullptr);
-    if (!release) {
+    const auto releases = std::exchange(m_releases, {}); // The last one may destroy this body.
+    if (releases.empty()) {
         return;
     }
-    m_budget->remove(m_id); // The memory is freed as soon as the write that was in progress has ended.
-    release();
+    m_budget->remove(m_id); // The memory is freed as soon as the writes that were in progress have ended.
+    for (const auto &release : releases) {
+        release();
+    }
 }
 
 }
--- a/tests/loop/callerbudget.cpp
+++ b/tests/loop/callerbudget.cpp
@@ -119,6 +119,23 @@
 }
 
 // Guards against bodies beyond the bound on memory, 137 MiB in a trial: they weren't counted once their callers had their 504.
+TEST_CASE("regression: over the budget, only the latest of two attempts with the same body was ended")
+{
+    // A hedge replaced the function that ends the first attempt, so the body stayed in memory and counted nowhere.
+    const auto budget = std::make_shared<Loop::CallerBudget>(Loop::CallerBudgetSettings{1000, UINT64_MAX});
+    auto body = std::make_shared<Loop::HeldBody>(std::string(2000, 'x'), budget, "10.0.0.1", TimePoint{});
+    std::vector<std::shared_ptr<const std::string>> attempts(2, Loop::HeldBody::bytesOf(body));
+    for (auto &attempt : attempts) {
+        body->addRelease([&attempt] { attempt.reset(); });
+    }
+    const std::weak_ptr<const std::string> bytes = attempts.front();
+    Loop::HeldBody::letGo(std::move(body));
+    CHECK(budget->held() >= 2000);
+    budget->enforce(TimePoint(1s));
+    CHECK(budget->held() == 0);
+    CHECK(bytes.expired());
+}
+
 TEST_CASE("regression: the body of an attempt that goes on after its caller has got a 504 wasn't counted")
 {
     constexpr std::size_t BodySize = 12U << 20U; // More than the kernel takes for a server that doesn't read.
