--- a/include/ragwortrelay/limits/tokenbucket.h
+++ b/include/ragwortrelay/limits/tokenbucket.h
@@ -37,6 +37,9 @@
 /// Consumes a token if one is available. Returns whether it did.
 bool takeToken(TokenBucket &bucket, TimePoint now);
 
+/// Tells whether a token is available. Thread-safe on a bucket that does not change.
+bool hasToken(const TokenBucket &bucket, TimePoint now);
+
 /// Returns the time until a token is available for a caller behind `waitersAhead` other waiting callers. It is zero if a token is available
 /// and empty if none will ever be. Precondition: the bucket was refilled at the present time. Thread-safe on a bucket that does not change.
 std::optional<Duration> timeUntilToken(const TokenBucket &bucket, std::size_t waitersAhead = 0);
--- a/include/ragwortrelay/scheduling/scheduler.h
+++ b/include/ragwortrelay/scheduling/scheduler.h
@@ -99,6 +99,9 @@
 std::optional<PlacementReply>
 placement(Scheduler &scheduler, const PlacementRequest &placement, const Requester &requester, RandomGenerator &random, TimePoint now);
 
+/// Tells whether a placement takes a token of the limit of its workspace. Thread-safe on a scheduler that doesn't change.
+bool isLimited(const Scheduler &scheduler, const PlacementRequest &placement);
+
 /// Refuses a placement if its workspace has no token now.
 /// @return the refusal, or nothing if there is a token or no limit
 std::optional<PlacementReply> refuseIfOverLimit(Scheduler &scheduler, const PlacementRequest &placement, TimePoint now);
--- a/include/ragwortrelay/scheduling/serverregistry.h
+++ b/include/ragwortrelay/scheduling/serverregistry.h
@@ -60,6 +60,12 @@
     friend bool operator==(const ServerSelectionSettings &, const ServerSelectionSettings &) = default;
 };
 
+/// Tells whether a server with this probability of being unhealthy looks unhealthy. Thread-safe.
+inline bool looksUnhealthy(const ServerSelectionSettings &settings, double unhealthyProbability)
+{
+    return unhealthyProbability > settings.m_avoidAbove;
+}
+
 /// Attempt that runs on a server, as known to the scheduler.
 struct RunningAttempt {
     PlacementId m_id;
--- a/src/host/claims.cpp
+++ b/src/host/claims.cpp
@@ -130,9 +130,9 @@
     if (!state.m_source.m_hasOperatorTable) {
         return TimePoint::max();
     }
-    return state.m_lastTick
-        + (state.m_claims.m_claims.empty() && state.m_claims.m_recovery.m_pending.empty() && !state.m_claims.m_recovery.m_isInGrace ? IdleInterval
-                                                                                                                                    : ClaimInterval);
+    const Dispatch::ClaimRecovery &recovery = state.m_claims.m_recovery;
+    const bool isIdle = state.m_claims.m_claims.empty() && recovery.m_pending.empty() && !recovery.m_isInGrace;
+    return state.m_lastTick + (isIdle ? IdleInterval : ClaimInterval);
 }
 
 }
--- a/src/host/metrics.cpp
+++ b/src/host/metrics.cpp
@@ -21,7 +21,7 @@
         const double unhealthyProbability =
             Health::unhealthyProbability(settings.m_suspicion, server.m_suspicion, state.m_settings.m_host, state.m_settings.m_domain, now);
         const bool isDraining = Scheduling::isDraining(server, now);
-        const char *health = unhealthyProbability > settings.m_avoidAbove ? "suspect" : "sound";
+        const char *health = Scheduling::looksUnhealthy(settings, unhealthyProbability) ? "suspect" : "sound";
         const char *use = server.m_isEvacuated ? "evacuated" : (isDraining ? "leaving" : health);
         gauges["servers_cold"] += Scheduling::isCold(server, now) ? 1.0 : 0.0;
         gauges["servers{service=\"" + server.m_server.m_service.text() + "\",use=\"" + use + "\"}"] += 1.0;
--- a/src/host/placements.cpp
+++ b/src/host/placements.cpp
@@ -127,13 +127,10 @@
 std::optional<TimePoint> extendedWait(const State &state, const PendingPlacement &pending, TimePoint now)
 {
     const bool isAlive = now - state.m_leadership.m_leaderHeardAt < state.m_settings.m_leadership.m_signOfLifeDuration;
-    const auto bucket = state.m_scheduler.m_buckets.find(pending.m_placement.m_workspace);
-    const bool isLimited = pending.m_placement.m_purpose == AttemptKind::First && bucket != state.m_scheduler.m_buckets.end();
-    if (pending.m_isQueued || pending.m_isExtended || !isAlive || !isLimited) {
+    if (pending.m_isQueued || pending.m_isExtended || !isAlive || !Scheduling::isLimited(state.m_scheduler, pending.m_placement)) {
         return std::nullopt;
     }
-    Limits::TokenBucket refilled = bucket->second;
-    if (Limits::takeToken(refilled, now)) {
+    if (Limits::hasToken(state.m_scheduler.m_buckets.at(pending.m_placement.m_workspace), now)) {
         return std::nullopt;
     }
     const Duration spare = pending.m_placement.m_objectiveLeft - Scheduling::usualTimeOf(state.m_scheduler, pending.m_placement.m_service);
--- a/src/host/statelog.cpp
+++ b/src/host/statelog.cpp
@@ -51,7 +51,7 @@
     std::erase_if(suspected, [&](const ServerId &id) { return !servers.contains(id); });
     for (const auto &[id, server] : servers) {
         const WorstView view = worstViewOf(settings.m_suspicion, server.m_suspicion, now);
-        const bool isUnhealthy = view.m_unhealthyProbability > settings.m_avoidAbove;
+        const bool isUnhealthy = Scheduling::looksUnhealthy(settings, view.m_unhealthyProbability);
         if (isUnhealthy && suspected.insert(id).second) {
             log(actions, serverLine("server-suspected", id, server, view, Severity::Warning));
         } else if (!isUnhealthy && suspected.erase(id) > 0) {
--- a/src/limits/tokenbucket.cpp
+++ b/src/limits/tokenbucket.cpp
@@ -85,6 +85,12 @@
     return true;
 }
 
+bool hasToken(const TokenBucket &bucket, TimePoint now)
+{
+    TokenBucket copy = bucket;
+    return takeToken(copy, now);
+}
+
 std::optional<Duration> timeUntilToken(const TokenBucket &bucket, std::size_t waitersAhead)
 {
     const double needed = 1.0 + static_cast<double>(waitersAhead);
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -168,15 +168,17 @@
     return placeOrEnqueue(scheduler, placement, requester, random, now);
 }
 
+bool isLimited(const Scheduler &scheduler, const PlacementRequest &placement)
+{
+    return placement.m_purpose == AttemptKind::First && scheduler.m_buckets.contains(placement.m_workspace);
+}
+
 std::optional<PlacementReply> refuseIfOverLimit(Scheduler &scheduler, const PlacementRequest &placement, TimePoint now)
 {
-    const auto bucket = scheduler.m_buckets.find(placement.m_workspace);
-    if (placement.m_purpose != AttemptKind::First || bucket == scheduler.m_buckets.end()) {
+    if (!isLimited(scheduler, placement) || Limits::hasToken(scheduler.m_buckets.at(placement.m_workspace), now)) {
         return std::nullopt;
     }
-    Limits::refill(bucket->second, now);
-    const auto wait = Limits::timeUntilToken(bucket->second);
-    return wait && *wait == Duration(0) ? std::nullopt : std::optional(refuseOverLimit(scheduler, placement, now));
+    return refuseOverLimit(scheduler, placement, now);
 }
 
 void cancel(Scheduler &scheduler, const PlacementId &id)
--- a/src/scheduling/selection.cpp
+++ b/src/scheduling/selection.cpp
@@ -57,27 +57,22 @@
 
 /// Decides for one selection whether it may use servers that come back from an evacuation. The share of the selections that may grows in proportion
 /// to the time since the restoration. One draw holds for all servers: with a draw for each, nearly every selection would find one that it may use.
-class RestorationDraw
+///
+/// @param drawn number drawn for this selection, 0 to 1; set for the first server that needs it
+bool allowsRestored(std::optional<double> &drawn,
+                    RandomGenerator &random,
+                    const ServerSelectionSettings &settings,
+                    const ServiceState &service,
+                    const ServerState &state,
+                    TimePoint now)
 {
-public:
-    explicit RestorationDraw(RandomGenerator &random) : m_random(random)
-    {
-    }
-
-    bool allows(const ServerSelectionSettings &settings, const ServiceState &service, const ServerState &state, TimePoint now)
-    {
-        if (!isComingBack(settings, service, state, now)) {
-            return true;
-        }
-        m_drawn = m_drawn ? m_drawn : std::optional(randomUnit(m_random));
-        const double elapsed = static_cast<double>((now - *state.m_restoredAt).count()) / static_cast<double>(rampOf(settings, service).count());
-        return *m_drawn < std::max(settings.m_minRestoredShare, elapsed);
+    if (!isComingBack(settings, service, state, now)) {
+        return true;
     }
-
-private:
-    RandomGenerator &m_random;
-    std::optional<double> m_drawn;
-};
+    drawn = drawn ? drawn : std::optional(randomUnit(random));
+    const double elapsed = static_cast<double>((now - *state.m_restoredAt).count()) / static_cast<double>(rampOf(settings, service).count());
+    return *drawn < std::max(settings.m_minRestoredShare, elapsed);
+}
 
 }
 
@@ -137,15 +132,15 @@
     const std::size_t start = count > settings.m_maxCandidates ? randomBelow(random, count) : 0;
     std::vector<ServerId> connected = connectedServers(settings, service, placement, requester.m_host, now);
     std::vector<Candidate> candidates;
-    RestorationDraw restorationDraw(random);
+    std::optional<double> restorationDraw;
     const auto add = [&](const ServerId &id, bool isConnected) {
         const auto found = registry.m_servers.find(id);
         if (found != registry.m_servers.end() && isUsable(found->second, now)) {
             const Health::ServerSuspicion &suspicion = found->second.m_suspicion;
             const double unhealthyProbability = Health::unhealthyProbability(settings.m_suspicion, suspicion, requester.m_host, requester.m_domain, now);
             const ServerState &state = found->second;
-            const bool canStart =
-                hasFreeSlot(state, now) && restorationDraw.allows(settings, service, state, now) && allowsColdStart(registry, settings, service, state, now);
+            const bool canStart = hasFreeSlot(state, now) && allowsRestored(restorationDraw, random, settings, service, state, now)
+                && allowsColdStart(registry, settings, service, state, now);
             candidates.push_back({&state, unhealthyProbability, isConnected, canStart});
         }
     };
@@ -190,7 +185,7 @@
 {
     const auto isUnhealthy = [&](const Candidate &candidate) {
         const std::optional<TimePoint> &since = candidate.m_state->m_suspectSince;
-        return candidate.m_unhealthyProbability > settings.m_avoidAbove && now - since.value_or(now) >= policy.m_avoidanceDelay;
+        return looksUnhealthy(settings, candidate.m_unhealthyProbability) && now - since.value_or(now) >= policy.m_avoidanceDelay;
     };
     std::ranges::sort(candidates, [](const Candidate &left, const Candidate &right) { return left.m_unhealthyProbability > right.m_unhealthyProbability; });
     const double floor = policy.m_floor.value_or(settings.m_floor);
@@ -262,7 +257,7 @@
     }
     const SpilloverSettings &spillover = settings.m_spillover;
     const DomainDemand demand = demandOf(service, requester.m_domain);
-    const auto isHealthy = [&](const Candidate &candidate) { return candidate.m_unhealthyProbability <= settings.m_avoidAbove; };
+    const auto isHealthy = [&](const Candidate &candidate) { return !looksUnhealthy(settings, candidate.m_unhealthyProbability); };
     const auto isOwn = [&](const Candidate &candidate) { return candidate.m_state->m_server.m_domain == requester.m_domain; };
     const bool hasHealthyOwn = std::ranges::any_of(candidates, [&](const Candidate &candidate) {
         return isOwn(candidate) && isHealthy(candidate) && !contains(placement.m_excluded, candidate.m_state->m_server.m_id);
@@ -335,8 +330,8 @@
 bool isExemptFromUse(const ServerSelectionSettings &settings, const Candidate &candidate, bool failing, TimePoint now)
 {
     const std::optional<TimePoint> &failedAt = candidate.m_state->m_lastFailureAt;
-    const bool looksUnhealthy = !failing && candidate.m_unhealthyProbability > settings.m_avoidAbove;
-    return failedAt && now - *failedAt < (looksUnhealthy ? settings.m_recentFailurePeriodUnhealthy : settings.m_recentFailurePeriod);
+    const bool isExemptForLonger = !failing && looksUnhealthy(settings, candidate.m_unhealthyProbability);
+    return failedAt && now - *failedAt < (isExemptForLonger ? settings.m_recentFailurePeriodUnhealthy : settings.m_recentFailurePeriod);
 }
 
 /// Tells whether a server is due for a request that can be sent again. It is due earlier than for others, which then find it used or failed.
--- a/src/scheduling/serverregistry.cpp
+++ b/src/scheduling/serverregistry.cpp
@@ -98,7 +98,7 @@
 void updateSuspectSince(ServerState &state, const ServerSelectionSettings &settings, const Requester &requester, TimePoint now)
 {
     const double unhealthyProbability = Health::unhealthyProbability(settings.m_suspicion, state.m_suspicion, requester.m_host, requester.m_domain, now);
-    if (unhealthyProbability <= settings.m_avoidAbove) {
+    if (!looksUnhealthy(settings, unhealthyProbability)) {
         state.m_suspectSince.reset();
     } else if (!state.m_suspectSince) {
         state.m_suspectSince = now;
@@ -166,7 +166,7 @@
 bool isHealthy(const ServerState &state, const ServerSelectionSettings &settings, const Requester &requester, TimePoint now)
 {
     const double unhealthyProbability = Health::unhealthyProbability(settings.m_suspicion, state.m_suspicion, requester.m_host, requester.m_domain, now);
-    return detail::isUsable(state, now) && unhealthyProbability <= settings.m_avoidAbove;
+    return detail::isUsable(state, now) && !looksUnhealthy(settings, unhealthyProbability);
 }
 
 /// Updates the capacity of each failure domain from its usable servers, weighted by the probability that they are healthy.
@@ -215,10 +215,6 @@
     return 1.0 + (state.m_slowness - 1.0) * decayFactor(now - state.m_slownessUpdatedAt, settings.m_slownessDecayTime);
 }
 
-}
-
-namespace detail {
-
 bool hasSpilloverPrice(const ServerSelectionSettings &settings, const Requester &requester)
 {
     return isEnabled(settings.m_spillover) && !requester.m_domain.isEmpty();
@@ -411,7 +407,7 @@
         recordStart(state.m_recentStarts, now);
     }
     removeIdleConnection(registry.m_services[state.m_server.m_service], requester.m_host, server);
-    if (Health::unhealthyProbability(settings.m_suspicion, state.m_suspicion, requester.m_host, requester.m_domain, now) > settings.m_avoidAbove) {
+    if (looksUnhealthy(settings, Health::unhealthyProbability(settings.m_suspicion, state.m_suspicion, requester.m_host, requester.m_domain, now))) {
         state.m_lastTrialAt = now;
     }
 }
--- a/src/scheduling/tokens.cpp
+++ b/src/scheduling/tokens.cpp
@@ -30,16 +30,16 @@
 
 LimitOutcome takeWorkspaceToken(Scheduler &scheduler, const PlacementRequest &placement, const Requester &requester, TimePoint now)
 {
-    const auto bucket = scheduler.m_buckets.find(placement.m_workspace);
-    if (placement.m_purpose != AttemptKind::First || bucket == scheduler.m_buckets.end()) {
+    if (!isLimited(scheduler, placement)) {
         return LimitOutcome::Passed;
     }
+    Limits::TokenBucket &bucket = scheduler.m_buckets.at(placement.m_workspace);
     const std::size_t ahead = countAhead(scheduler, placement);
-    if (ahead == 0 && Limits::takeToken(bucket->second, now)) {
+    if (ahead == 0 && Limits::takeToken(bucket, now)) {
         return LimitOutcome::Passed;
     }
-    Limits::refill(bucket->second, now);
-    const auto wait = Limits::timeUntilToken(bucket->second, ahead);
+    Limits::refill(bucket, now);
+    const auto wait = Limits::timeUntilToken(bucket, ahead);
     if (!wait || *wait > maxTokenWait(scheduler, placement)) {
         return LimitOutcome::Refused;
     }
