Skip a late response to its end, in whatever pieces it comes

What callers saw: a server sent its previous response once more while the next request was running on the connection. Cause: ClientConnection::skipResponse() started a new reader when the head of the late response was known. What had not been read of its body was then parsed as the head of the next response: after a pause between head and body, or beyond the 4,096 bytes that are read at once. Change: a response that belongs to an earlier request is read to its end and discarded before the next one is expected. If its end can't be told (no length, or HEAD beside other methods on the connection), the request fails and the connection is closed. A line `response-skipped` and a counter tell of it; none did before. detach(), which nothing called, is gone.

--- a/include/ragwortrelay/detail/host/handlers.h
+++ b/include/ragwortrelay/detail/host/handlers.h
@@ -40,6 +40,8 @@
 void onAttemptResponded(State &state, const AttemptResponded &response, TimePoint now, Actions &actions);
 void onAttemptFailed(State &state, const AttemptFailed &failure, TimePoint now, Actions &actions);
 void onAttemptEnded(State &state, const AttemptEnded &ended, TimePoint now, Actions &actions);
+/// Logs and counts a response that belonged to an earlier request.
+void onResponseSkipped(State &state, const ResponseSkipped &skipped, Actions &actions);
 /// Lets an attempt run on although nobody waits for its response.
 /// Its request may run only once, and the end of the attempt shows the health of the server. The time is limited, so that a server that
 /// doesn't respond doesn't hold a slot forever.
--- a/include/ragwortrelay/host/event.h
+++ b/include/ragwortrelay/host/event.h
@@ -82,6 +82,16 @@
     friend bool operator==(const AttemptEnded &, const AttemptEnded &) = default;
 };
 
+/// A response that belongs to an earlier request arrived during an attempt and was skipped. The attempt goes on.
+struct ResponseSkipped {
+    AttemptId m_attempt = 0;
+    std::uint16_t m_status = 0;
+    std::string m_attemptId; ///< Attempt id of the caller that the response bears; empty for none.
+    std::string m_hostAttempt; ///< Attempt of a host that the response bears; empty for none.
+
+    friend bool operator==(const ResponseSkipped &, const ResponseSkipped &) = default;
+};
+
 /// A backend server announced that it is about to close its connections.
 struct ServerClosing {
     ServerId m_server;
@@ -139,6 +149,7 @@
                            AttemptResponded,
                            AttemptFailed,
                            AttemptEnded,
+                           ResponseSkipped,
                            ServerClosing,
                            StoreResponded,
                            PeerDatagramReceived,
--- a/include/ragwortrelay/loop/clientconnection.h
+++ b/include/ragwortrelay/loop/clientconnection.h
@@ -42,16 +42,15 @@
     /// Sends a request. Precondition: no request is in progress.
     /// @param head request head with its terminating empty line
     /// @param body request body, or null for none; kept alive until it is sent and no longer
-    /// @param handler called for each event up to Whole or Failed, and never after detach()
+    /// @param handler called for each event up to Whole or Failed; the body that has arrived can be taken from the reader at each Progress
     void send(std::string head, std::shared_ptr<const std::string> body, Http::ResponseBody responseBody, Handler handler);
 
-    /// Removes the handler. A response that is in progress is read and discarded.
-    void detach();
-
     /// Closes the connection immediately. No handler is called afterwards.
     void close();
 
-    /// Skips the response that is being read, because it belongs to an earlier request, and waits for the next one.
+    /// Skips the response that is being read, head and body, because it belongs to an earlier request, and waits for the next one. The request fails
+    /// if the end of that response can't be told from the bytes.
+    /// Precondition: called by the handler during the event Progress.
     void skipResponse();
 
     /// Stops or resumes reading, as flow control for a slow receiver of the response.
@@ -86,7 +85,11 @@
     void onRead(const ErrorCode &error, std::size_t size);
     void onEof();
     void parseInput();
-    void finish(ResponseEvent event);
+    /// Reports what has arrived of a response whose head is complete, or discards it if the response is skipped.
+    void processResponse();
+    void continueSkipping();
+    /// Ends the request with its whole response.
+    void finish();
     void fail(Dispatch::AttemptFailure failure);
     void notify(ResponseEvent event);
 
@@ -111,6 +114,8 @@
     bool m_isWriting = false;
     bool m_isReading = false;
     bool m_isPaused = false;
+    bool m_isSkipping = false; ///< The response that is being read belongs to an earlier request.
+    bool m_hasMixedMethods = false; ///< Some requests permitted a response body and others didn't.
     bool m_isClosed = false;
     bool m_hasToClose = false; ///< The connection must not be used for another request.
     bool m_hasSent = false;
--- a/src/host/attempts.cpp
+++ b/src/host/attempts.cpp
@@ -153,6 +153,13 @@
     giveUp(state, id, problem, now, actions);
 }
 
+/// Returns the id that the caller gave to the request of an attempt; empty if the request has ended.
+std::string requestOf(const State &state, const Attempt &attempt)
+{
+    const auto exchange = state.m_exchanges.find(attempt.m_exchange);
+    return exchange == state.m_exchanges.end() ? std::string() : exchange->second.m_request.m_metadata.m_attemptId;
+}
+
 /// Returns the problem of a request whose server is leaving or paused.
 Problem unusableServerProblem()
 {
@@ -252,10 +259,9 @@
 
 void logAttemptEnd(const State &state, const Attempt &attempt, AttemptEnd end, TimePoint now, Actions &actions)
 {
-    const auto exchange = state.m_exchanges.find(attempt.m_exchange);
     log(actions,
         LogLine("attempt-ended")
-            .with("request", exchange == state.m_exchanges.end() ? "" : exchange->second.m_request.m_metadata.m_attemptId)
+            .with("request", requestOf(state, attempt))
             .with("server", attempt.m_server.text())
             .with("end", Scheduling::toString(end))
             .with("fingerprint", std::to_string(attempt.m_fingerprint))
@@ -405,4 +411,20 @@
     }
 }
 
+void onResponseSkipped(State &state, const ResponseSkipped &skipped, Actions &actions)
+{
+    const auto running = state.m_attempts.find(skipped.m_attempt);
+    if (running == state.m_attempts.end()) {
+        return;
+    }
+    Reporting::count(state.m_counters, "responses_skipped");
+    log(actions,
+        LogLine("response-skipped", Reporting::Severity::Warning)
+            .with("request", requestOf(state, running->second))
+            .with("server", running->second.m_server.text())
+            .with("status", skipped.m_status)
+            .with("other_request", skipped.m_attemptId)
+            .with("other_attempt", skipped.m_hostAttempt));
+}
+
 }
--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -188,6 +188,8 @@
                 detail::onAttemptFailed(state, typed, now, actions);
             } else if constexpr (std::is_same_v<Type, AttemptEnded>) {
                 detail::onAttemptEnded(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, ResponseSkipped>) {
+                detail::onResponseSkipped(state, typed, actions);
             } else if constexpr (std::is_same_v<Type, ServerClosing>) {
                 detail::onServerClosing(state, typed, now);
             } else if constexpr (std::is_same_v<Type, StoreResponded>) {
--- a/src/loop/backendpool.cpp
+++ b/src/loop/backendpool.cpp
@@ -222,6 +222,7 @@
     attempt.m_metadata = Http::readResponseMetadata(m_headerScheme, head);
     if (belongsToOtherAttempt(id, attempt)) {
         attempt.m_connection->skipResponse();
+        m_handler(Host::ResponseSkipped{id, head.m_status, attempt.m_metadata.m_attemptId, attempt.m_metadata.m_hostAttempt});
         return false;
     }
     if (lacksAttemptId(attempt.m_attemptId, head, attempt.m_metadata)) {
--- a/src/loop/clientconnection.cpp
+++ b/src/loop/clientconnection.cpp
@@ -72,6 +72,7 @@
 {
     m_head = std::move(head);
     m_body = std::move(body);
+    m_hasMixedMethods = m_hasMixedMethods || (m_reader && responseBody != m_responseBody);
     m_responseBody = responseBody;
     m_handler = std::move(handler);
     m_reader.emplace(responseBody);
@@ -146,29 +147,23 @@
     const bool isBeforeHead = m_reader->state() == ResponseState::Head;
     m_hasToClose = true;
     m_reader->putEof();
-    if (m_reader->state() == ResponseState::Whole) {
-        finish(ResponseEvent::Whole);
-    }
-    if (m_isBusy) {
-        fail(isBeforeHead ? AttemptFailure::Broken : AttemptFailure::Truncated);
+    if (m_reader->state() == ResponseState::Whole && !m_isSkipping) {
+        return finish();
     }
+    fail(isBeforeHead || m_isSkipping ? AttemptFailure::Broken : AttemptFailure::Truncated);
 }
 
 void ClientConnection::parseInput()
 {
     const auto self = shared_from_this(); // A handler may release the last reference to the connection.
-    while (m_isBusy && !m_unparsed.empty()) {
+    while (m_isBusy && !m_isClosed && !m_unparsed.empty()) {
         const std::size_t used = m_reader->put(m_unparsed);
         m_unparsed.erase(0, used);
-        const ResponseState state = m_reader->state();
-        if (state == ResponseState::Broken) {
+        if (m_reader->state() == ResponseState::Broken) {
             return fail(AttemptFailure::Malformed);
         }
-        if (state == ResponseState::Whole) {
-            return finish(ResponseEvent::Whole);
-        }
-        if (state == ResponseState::Body) {
-            notify(ResponseEvent::Progress);
+        if (m_reader->state() != ResponseState::Head) {
+            processResponse();
         }
         if (used == 0) {
             if (m_unparsed.size() > MaxUnparsedBytes) {
@@ -179,25 +174,44 @@
     }
 }
 
-void ClientConnection::finish(ResponseEvent event)
+void ClientConnection::processResponse()
 {
-    if (m_handler) {
-        notify(ResponseEvent::Progress); // The handler may not know the head yet, and may find that the response belongs to an earlier request.
-        if (m_reader->state() == ResponseState::Head) {
-            return parseInput(); // The handler skipped the response.
-        }
+    if (!m_isSkipping) {
+        notify(ResponseEvent::Progress); // The handler may find that the response belongs to an earlier request.
+    }
+    if (m_isClosed) {
+        return;
+    }
+    if (m_isSkipping) {
+        return continueSkipping();
+    }
+    if (m_reader->state() == ResponseState::Whole) {
+        finish();
+    }
+}
+
+void ClientConnection::continueSkipping()
+{
+    // No other response can follow on the connection, or it can't be told where the next one begins.
+    if (m_reader->isCloseDelimited() || m_hasMixedMethods) {
+        return fail(AttemptFailure::Broken);
     }
+    if (m_reader->state() == ResponseState::Whole) {
+        m_isSkipping = false;
+        m_reader.emplace(m_responseBody);
+        return;
+    }
+    static_cast<void>(m_reader->takeBody());
+}
+
+void ClientConnection::finish()
+{
     // Unsent bytes of this request would be taken for a part of the next one; bytes after the response belong to no request.
     m_hasToClose = m_hasToClose || m_isWriting || !m_unparsed.empty() || !m_reader->head().m_keepAlive;
     m_isBusy = false;
     m_body.reset();
-    const Handler handler = std::move(m_handler);
-    m_handler = nullptr;
-    if (handler) {
-        handler(event);
-    } else {
-        close();
-    }
+    const Handler handler = std::exchange(m_handler, nullptr);
+    handler(ResponseEvent::Whole);
 }
 
 void ClientConnection::fail(AttemptFailure failure)
@@ -223,11 +237,6 @@
     }
 }
 
-void ClientConnection::detach()
-{
-    m_handler = nullptr;
-}
-
 void ClientConnection::close()
 {
     if (m_isClosed) {
@@ -243,7 +252,7 @@
 void ClientConnection::skipResponse()
 {
     m_hasToClose = true;
-    m_reader.emplace(m_responseBody);
+    m_isSkipping = true;
 }
 
 void ClientConnection::pauseReading(bool paused)
--- a/tests/loop/relay.h
+++ b/tests/loop/relay.h
@@ -17,10 +17,13 @@
 class Relay
 {
 public:
-    explicit Relay(const Loop::CallerListenerSettings &callers, const std::string &server, const Loop::BackendSettings &backends = backendSettings())
+    explicit Relay(const Loop::CallerListenerSettings &callers,
+                   const std::string &server,
+                   const Loop::BackendSettings &backends = backendSettings(),
+                   const Http::HeaderScheme &headerScheme = Http::defaultHeaderScheme())
         : m_server(server)
-        , m_listener(m_context, callers, Http::defaultHeaderScheme(), [this](const Host::Event &event) { dispatch(event); })
-        , m_pool(m_context, backends, Http::defaultHeaderScheme(), [this](const Host::Event &event) { dispatch(event); })
+        , m_listener(m_context, callers, headerScheme, [this](const Host::Event &event) { dispatch(event); })
+        , m_pool(m_context, backends, headerScheme, [this](const Host::Event &event) { dispatch(event); })
     {
         m_listener.start();
         m_address = m_listener.address();
@@ -67,6 +70,7 @@
     std::atomic<std::uint64_t> m_exceptions{0};
     std::atomic<bool> m_failsOnRequest{false}; ///< The handler of the next request throws.
     std::atomic<std::uint64_t> m_callerDisconnects{0};
+    std::atomic<std::uint64_t> m_skipped{0}; ///< Responses that belonged to an earlier request.
     std::atomic<std::int64_t> m_timeLeftMs{30'000};
 
 private:
@@ -107,6 +111,11 @@
         m_listener.refuse(failure.m_attempt, {502, ErrorId::RequestUpstreamFailed, Dispatch::Outcome::Unknown, Dispatch::toString(failure.m_failure), {}});
     }
 
+    void handle(const Host::ResponseSkipped & /*event*/)
+    {
+        ++m_skipped;
+    }
+
     void handle(const Host::AttemptEnded &ended)
     {
         m_callerDisconnects += ended.m_callerAborted ? 1 : 0;
--- a/tests/processes/faultyserver.py
+++ b/tests/processes/faultyserver.py
@@ -157,6 +157,48 @@
         return server.send(connection, b"HTTP/1.1 200 OK\r\n" + headers + b"Content-Length: 2\r\n\r\nok")
 
 
+class LateRepeater:
+    """Behaviour of a server that writes the previous response of a connection once more, late, before it responds to every third request. It writes heads and
+    bodies apart. Its bodies are transcripts of HTTP messages, and name their request at the end."""
+
+    REPETITION_INTERVAL = 3
+    TRANSCRIPT = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+    PAUSE_SECONDS = 0.01
+
+    def __init__(self, size=1500):
+        self.size = size
+        self.previous = {}
+        self.requests = {}
+        self.runs = []
+        self.repetitions = 0
+
+    def body_for(self, target):
+        return self.TRANSCRIPT + b"#" * self.size + target.encode()
+
+    def response_to(self, request):
+        body = self.body_for(request.target)
+        echoed = "".join(f"{name}: {request.headers[name]}\r\n" for name in ("attempt-id", "ragwortrelay-attempt") if name in request.headers)
+        return f"HTTP/1.1 200 OK\r\n{echoed}Server-Signature: s\r\nContent-Length: {len(body)}\r\n\r\n".encode(), body
+
+    def write(self, server, connection, response):
+        for part in response:
+            server.send(connection, part)
+            time.sleep(self.PAUSE_SECONDS)
+
+    def __call__(self, server, connection, request):
+        with server.lock:
+            self.runs.append(request.target)
+            number = self.requests[connection] = self.requests.get(connection, 0) + 1
+            previous = self.previous.get(connection)
+            response = self.previous[connection] = self.response_to(request)
+            repeats = previous is not None and number % self.REPETITION_INTERVAL == 0
+            self.repetitions += repeats
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if repeats:
+            self.write(server, connection, previous)
+        self.write(server, connection, response)
+
+
 class EndlessWriter:
     """Behaviour of a server that writes bytes without end, until its peer closes the connection, to requests for a given path. Others succeed."""
 
--- a/tests/processes/test_faulty_responses.py
+++ b/tests/processes/test_faulty_responses.py
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from faultyserver import EndlessWriter, FaultyServer, RefusalRepeater
+from faultyserver import EndlessWriter, FaultyServer, LateRepeater, RefusalRepeater
 from fleet import Fleet, bearer, request
 from test_platform import PlatformFleet, send
 
@@ -62,6 +62,41 @@
             self.check(behaviours, statuses)
 
 
+class LateResponse(unittest.TestCase):
+    """Guards against review/6: the body of a late response that came after its head was read as the response to the request in progress."""
+
+    REQUESTS = 60
+    SIZES = (1500, 20000)
+
+    def check(self, behaviour, send_request):
+        for number in range(self.REQUESTS):
+            method, path = ("GET", f"/look/{number}") if number % 2 == 0 else ("POST", f"/buy/{number}")
+            response = send_request(method, path, f"a{number}")
+            self.assertEqual(response.status, 200, path)
+            self.assertEqual(response.body, behaviour.body_for(path))
+        self.assertEqual(len(behaviour.runs), len(set(behaviour.runs)))
+        self.assertGreater(behaviour.repetitions, self.REQUESTS // 10)
+
+    def test_own_interface(self):
+        for size in self.SIZES:
+            behaviour = LateRepeater(size)
+            with self.subTest(size=size), Fleet(hosts=1, backends=0) as fleet:
+                fleet.backends = [FaultyServer(behaviour)]
+                key = fleet.configure()
+                callers = fleet.hosts[0].callers
+                self.check(behaviour, lambda method, path, _: request(callers, method, path, bearer(key), b"x" if method == "POST" else None))
+
+    def test_platform_interface(self):
+        for size in self.SIZES:
+            behaviour = LateRepeater(size)
+            with self.subTest(size=size), PlatformFleet(hosts=1, backends=0) as fleet:
+                fleet.serve_with([FaultyServer(behaviour)])
+                behaviour.runs.clear()
+                host = fleet.hosts[0]
+                self.check(behaviour, lambda method, path, attempt: send(host, path, method=method, attempt=attempt, body=b"x" if method == "POST" else None))
+                self.assertGreater(len(host.events("response-skipped")), 0)
+
+
 class FarTooLargeLength(unittest.TestCase):
     """Guards against the end of a host's process by a response that announces more bytes than the memory holds."""
 
