End a cut response to an HTTP/1.0 caller with a reset

What callers saw: an HTTP/1.0 caller got the first part of a long response as a complete one when its server broke off. Cause: a response of unknown length has no framing in HTTP/1.0 but the end of the connection, and the connection was closed in order also when the response was cut. Change: from the head of such a response until its last byte is written, the socket is set to end with a reset, whatever closes it: a cut response, a caller that reads too slowly, the end of the process.

--- a/include/ragwortrelay/loop/stream.h
+++ b/include/ragwortrelay/loop/stream.h
@@ -62,6 +62,10 @@
     /// @param handler called when the stream isn't used any more; holds the owner of the stream until then
     void endWriting(std::function<void()> handler);
 
+    /// Sets whether the end of the connection is a reset, also when the process ends. A reset discards what the peer hasn't received.
+    /// Precondition: the socket is open.
+    void setResetsOnClose(bool resets);
+
     /// Closes the connection immediately. Handlers of operations in progress are called with an error.
     void close();
 
--- a/src/loop/callerconnection.cpp
+++ b/src/loop/callerconnection.cpp
@@ -223,6 +223,9 @@
 {
     const bool isHttp10 = m_request.m_head.m_minorVersion == 0;
     m_isChunked = m_hasBody && !contentLength && !isHttp10;
+    if (m_hasBody && !contentLength && isHttp10) {
+        m_stream.setResetsOnClose(true); // Until it is complete: the end of the connection is all that tells the caller so.
+    }
     m_keepsAlive = m_keepsAlive && !m_listener.m_isDraining && (contentLength || m_isChunked || !m_hasBody);
     const bool hasContentLength = contentLength && head.m_status != Http::Status::NoContent;
     if (hasContentLength) {
@@ -331,6 +334,7 @@
 {
     // Closing while the caller still sends would reset the connection, which could discard the response before the caller reads it.
     m_phase = Phase::Closing;
+    m_stream.setResetsOnClose(false);
     m_stream.endWriting([self = shared_from_this()] {}); // A TLS shutdown uses the stream until it ends.
     m_input.clear();
     startTimer(LingerTimeout);
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -81,6 +81,12 @@
     handler();
 }
 
+void Stream::setResetsOnClose(bool resets)
+{
+    ErrorCode ignored; // The connection has ended, and nothing more can be sent on it.
+    m_socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 void Stream::close()
 {
     ErrorCode ignored;
--- a/tests/loop/rawsocket.h
+++ b/tests/loop/rawsocket.h
@@ -3,6 +3,7 @@
 #include <ragwortrelay/loop/asio.h>
 
 #include <array>
+#include <cerrno>
 #include <poll.h>
 #include <stdexcept>
 #include <string>
@@ -60,6 +61,13 @@
         shutdown(m_descriptor, SHUT_WR);
     }
 
+    /// Makes the connection end with a reset when this object is destroyed.
+    void resetOnClose() const
+    {
+        const linger reset{1, 0};
+        setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+
     /// Receives at least one byte. Returns an empty string if the peer closed the connection or the timeout expired.
     std::string receiveSome(int timeoutMilliseconds = TimeoutMilliseconds) const
     {
@@ -69,6 +77,7 @@
         }
         std::array<char, 65536> buffer{};
         const ssize_t size = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        m_lastError = size < 0 ? errno : 0;
         return size <= 0 ? std::string() : std::string(buffer.data(), static_cast<std::size_t>(size));
     }
 
@@ -96,6 +105,12 @@
         return all;
     }
 
+    /// Returns the error of the last read, or 0 if it returned bytes or the end of the stream.
+    [[nodiscard]] int lastError() const
+    {
+        return m_lastError;
+    }
+
     [[nodiscard]] int descriptor() const
     {
         return m_descriptor;
@@ -103,6 +118,7 @@
 
 private:
     int m_descriptor;
+    mutable int m_lastError = 0;
 };
 
 /// Listening socket on the loopback address, with a port chosen by the kernel.
@@ -133,6 +149,11 @@
         return Loop::textOf(endpoint);
     }
 
+    [[nodiscard]] int descriptor() const
+    {
+        return m_descriptor;
+    }
+
     /// Accepts a connection. Returns -1 if the timeout expired.
     [[nodiscard]] int accept(int timeoutMilliseconds = RawSocket::TimeoutMilliseconds) const
     {
