Pass on no response as complete that a reset cut during the upload

What callers saw: a server answered a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer, with a Content-Length. Cause: a socket tells the error of its connection once. The write took it, and the read that followed found an end of stream, the regular end of such a response. Change: a write that fails, other than by a broken pipe, marks the connection as reset, and no response ends with it. If the end of the stream is read before the result of the write is known, writing is shut down, and the result decides. The test fake's event loop now has the same settings as the product's. A broken pipe stays a good end: the server ended its stream in order before it closed.

--- a/include/ragwortrelay/loop/clientconnection.h
+++ b/include/ragwortrelay/loop/clientconnection.h
@@ -84,6 +84,8 @@
     void read();
     void onRead(const ErrorCode &error, std::size_t size);
     void onEof();
+    /// Ends the request with the stream of the server, which is the end of a response that has no length.
+    void endAtEof();
     void parseInput();
     /// Reports what has arrived of a response whose head is complete, or discards it if the response is skipped.
     void processResponse();
@@ -117,6 +119,8 @@
     bool m_isSkipping = false; ///< The response that is being read belongs to an earlier request.
     bool m_hasMixedMethods = false; ///< Some requests permitted a response body and others didn't.
     bool m_isClosed = false;
+    bool m_hasEof = false; ///< The stream of the server has ended, in order or by a reset.
+    bool m_isReset = false; ///< A write has reported that the connection is broken. No response ends with it.
     bool m_hasToClose = false; ///< The connection must not be used for another request.
     bool m_hasSent = false;
 };
--- a/include/ragwortrelay/loop/stream.h
+++ b/include/ragwortrelay/loop/stream.h
@@ -62,6 +62,10 @@
     /// @param handler called when the stream isn't used any more; holds the owner of the stream until then
     void endWriting(std::function<void()> handler);
 
+    /// Ends the written data where it stands, without TLS's own end. A write in progress ends with an error: broken_pipe if the connection was in order, else
+    /// the error of the connection. Precondition: the socket is open.
+    void abortWriting();
+
     /// Sets whether the end of the connection is a reset, also when the process ends. A reset discards what the peer hasn't received.
     /// Precondition: the socket is open.
     void setResetsOnClose(bool resets);
--- a/src/loop/clientconnection.cpp
+++ b/src/loop/clientconnection.cpp
@@ -91,16 +91,24 @@
     m_hasSent = true;
     m_isWriting = true;
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head), m_body ? asio::buffer(*m_body) : asio::const_buffer()};
-    m_stream.write(buffers, [self = shared_from_this()](const ErrorCode &error, std::size_t /*size*/) { self->onWritten(error); });
+    m_stream.write(buffers, [self = shared_from_this()](const ErrorCode &error, std::size_t /*size*/) { self->guarded([&] { self->onWritten(error); }); });
 }
 
 void ClientConnection::onWritten(const ErrorCode &error)
 {
     m_isWriting = false;
     m_body.reset(); // The server may take long to respond.
-    if (error && !m_isClosed) {
-        // The server may have responded before the complete request was sent; that response is read first.
+    if (m_isClosed) {
+        return;
+    }
+    if (error) {
+        // The server may have responded before the complete request was sent; that response is read first. A broken pipe tells that the server has ended
+        // its stream in order. Any other error is reported once, so that the next read finds an end of stream in its place.
         m_hasToClose = true;
+        m_isReset = error != asio::error::broken_pipe;
+    }
+    if (m_hasEof) {
+        endAtEof();
     }
 }
 
@@ -144,10 +152,20 @@
 
 void ClientConnection::onEof()
 {
-    const bool isBeforeHead = m_reader->state() == ResponseState::Head;
     m_hasToClose = true;
+    m_hasEof = true;
+    if (m_isWriting && !m_stream.isSecure()) {
+        m_stream.abortWriting(); // The result of the write tells whether the server has ended its stream or reset the connection.
+        return;
+    }
+    endAtEof();
+}
+
+void ClientConnection::endAtEof()
+{
+    const bool isBeforeHead = m_reader->state() == ResponseState::Head;
     m_reader->putEof();
-    if (m_reader->state() == ResponseState::Whole && !m_isSkipping) {
+    if (m_reader->state() == ResponseState::Whole && !m_isSkipping && !m_isReset) {
         return finish();
     }
     fail(isBeforeHead || m_isSkipping ? AttemptFailure::Broken : AttemptFailure::Truncated);
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -76,11 +76,16 @@
         m_tlsStream->async_shutdown([handler = std::move(handler)](const ErrorCode & /*error*/) { handler(); });
         return;
     }
-    ErrorCode ignored;
-    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    abortWriting();
     handler();
 }
 
+void Stream::abortWriting()
+{
+    ErrorCode ignored; // The connection may have ended.
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void Stream::setResetsOnClose(bool resets)
 {
     ErrorCode ignored; // The connection has ended, and nothing more can be sent on it.
--- a/tests/loop/relay.h
+++ b/tests/loop/relay.h
@@ -133,7 +133,7 @@
 
     std::string m_server;
     std::string m_address;
-    Loop::asio::io_context m_context{1};
+    Loop::asio::io_context m_context; // Like that of the product: a concurrency hint would change the order of handlers.
     Loop::CallerListener m_listener;
     Loop::BackendPool m_pool;
     std::thread m_thread;
--- a/tests/processes/faultyserver.py
+++ b/tests/processes/faultyserver.py
@@ -19,6 +19,12 @@
         self.headers = {name.strip().lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:])}
 
 
+def echo_of(request):
+    """Returns the header lines by which a server names the request, and a signature."""
+    echoed = "".join(f"{name}: {request.headers[name]}\r\n" for name in ("attempt-id", "ragwortrelay-attempt") if name in request.headers)
+    return f"{echoed}Server-Signature: s\r\n".encode()
+
+
 def respond(server, connection, request):
     """Performs a request. The path selects the fault: /end, /fall-silent, /reset; other paths succeed."""
     if request.target.startswith("/end"):
@@ -41,8 +47,15 @@
 class FaultyServer:
     """Server with one thread a connection. A server that has ended comes back at the same address after RESTART_SECONDS."""
 
-    def __init__(self, behaviour=respond):
+    def __init__(self, behaviour=respond, receive_buffer=None):
+        """Creates a server.
+        behaviour -- called with each request, after its body unless it has a method `on_head`, which is called before the body is read and tells whether the
+                     connection is finished
+        receive_buffer -- bytes of a request that wait unread; None for the default of the system
+        """
         self.behaviour = behaviour
+        self.on_head = getattr(behaviour, "on_head", lambda server, connection, request: False)
+        self.receive_buffer = receive_buffer
         self.lock = threading.Lock()
         self.ends = 0
         self.life = 0  # Connections of an earlier life are never answered.
@@ -60,6 +73,8 @@
                 return
             self.listener = socket.create_server(("127.0.0.1", self.port), backlog=64)
             self.port = self.listener.getsockname()[1]
+            if self.receive_buffer is not None:
+                self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
             threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
 
     def accept(self, listener):
@@ -85,6 +100,8 @@
                     received += part
                 head, _, received = received.partition(b"\r\n\r\n")
                 request = Request(head)
+                if self.on_head(self, connection, request):
+                    return None
                 length = int(request.headers.get("content-length", 0))
                 while len(received) < length:
                     received += connection.recv(65536)
@@ -177,8 +194,7 @@
 
     def response_to(self, request):
         body = self.body_for(request.target)
-        echoed = "".join(f"{name}: {request.headers[name]}\r\n" for name in ("attempt-id", "ragwortrelay-attempt") if name in request.headers)
-        return f"HTTP/1.1 200 OK\r\n{echoed}Server-Signature: s\r\nContent-Length: {len(body)}\r\n\r\n".encode(), body
+        return b"HTTP/1.1 200 OK\r\n" + echo_of(request) + f"Content-Length: {len(body)}\r\n\r\n".encode(), body
 
     def write(self, server, connection, response):
         for part in response:
@@ -199,6 +215,27 @@
         self.write(server, connection, response)
 
 
+class EarlyResetter:
+    """Behaviour of a server that responds to uploads at once, without a length, and resets the connection in the midst of them. Other requests succeed."""
+
+    def __init__(self, body, pause_seconds):
+        self.body = body
+        self.pause_seconds = pause_seconds
+        self.resets = 0
+
+    def on_head(self, server, connection, request):
+        if request.method != "POST":
+            return False
+        server.send(connection, b"HTTP/1.1 200 OK\r\n" + echo_of(request) + b"\r\n" + self.body)
+        time.sleep(self.pause_seconds)
+        self.resets += 1
+        reset(connection)
+        return True
+
+    def __call__(self, server, connection, request):
+        server.send(connection, b"HTTP/1.1 200 OK\r\n" + echo_of(request) + b"Content-Length: 2\r\n\r\nok")
+
+
 class EndlessWriter:
     """Behaviour of a server that writes bytes without end, until its peer closes the connection, to requests for a given path. Others succeed."""
 
--- a/tests/processes/test_faulty_responses.py
+++ b/tests/processes/test_faulty_responses.py
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from faultyserver import EndlessWriter, FaultyServer, LateRepeater, RefusalRepeater
+from faultyserver import EarlyResetter, EndlessWriter, FaultyServer, LateRepeater, RefusalRepeater
 from fleet import Fleet, bearer, request
 from test_platform import PlatformFleet, send
 
@@ -97,6 +97,44 @@
                 self.assertGreater(len(host.events("response-skipped")), 0)
 
 
+class ResponseCutDuringUpload(unittest.TestCase):
+    """Guards against a response without a length that reached its caller as complete, although a reset had cut it while the upload was being written."""
+
+    UPLOAD = b"u" * 900_000
+    SMALL_RECEIVE_BUFFER = 4096
+    REQUESTS = 40
+    RESPONSES = ((b"a part of the body", 0.0), (b"a part of the body", 0.05), (b"r" * 200_000, 0.0))
+
+    def servers(self, behaviour):
+        return [FaultyServer(behaviour, self.SMALL_RECEIVE_BUFFER) for _ in range(2)]
+
+    def check(self, behaviour, send_upload):
+        for number in range(self.REQUESTS):
+            try:
+                status = send_upload(number).status
+            except (http.client.HTTPException, OSError):
+                continue  # The caller sees that the response is cut.
+            self.assertEqual(status, 502)
+        self.assertGreater(behaviour.resets, self.REQUESTS // 2)
+
+    def test_own_interface(self):
+        for body, pause in self.RESPONSES:
+            behaviour = EarlyResetter(body, pause)
+            with self.subTest(size=len(body), pause=pause), Fleet(hosts=1, backends=0) as fleet:
+                fleet.backends = self.servers(behaviour)
+                key = fleet.configure()
+                callers = fleet.hosts[0].callers
+                self.check(behaviour, lambda number: request(callers, "POST", f"/buy/{number}", bearer(key), self.UPLOAD))
+
+    def test_platform_interface(self):
+        for body, pause in self.RESPONSES:
+            behaviour = EarlyResetter(body, pause)
+            with self.subTest(size=len(body), pause=pause), PlatformFleet(hosts=1, backends=0) as fleet:
+                fleet.serve_with(self.servers(behaviour))
+                host = fleet.hosts[0]
+                self.check(behaviour, lambda number: send(host, f"/buy/{number}", method="POST", attempt=f"a{number}", body=self.UPLOAD))
+
+
 class FarTooLargeLength(unittest.TestCase):
     """Guards against the end of a host's process by a response that announces more bytes than the memory holds."""
 
