Leave bytes between two requests where the next one looks for them

Cause: a read was always in progress on an idle connection. It took the surplus from the operating system; its handler waited in the queue behind a request, whose check of the connection found nothing to read there any more.

Evidence: tests/loop/strayresponses.cpp, "regression: bytes behind a response that were read while another request took the connection became its response", holds the event loop up until the response, the surplus and the next request are there.

Change: an idle plain connection waits for input without reading it (Stream::waitForInput). If a request is in progress when the wait ends, it is read; else the connection is closed.

--- a/include/ragwortrelay/loop/clientconnection.h
+++ b/include/ragwortrelay/loop/clientconnection.h
@@ -82,6 +82,10 @@
     void write();
     void onWritten(const ErrorCode &error);
     void read();
+    /// Handles bytes or the end of the stream, which are there to read. They belong to a request only if one is in progress by now.
+    void onInput();
+    /// Closes the idle connection, which the server has ended or sent unsolicited bytes on.
+    void closeIdle();
     void onRead(const ErrorCode &error, std::size_t size);
     void onEof();
     /// Ends the request with the stream of the server, which is the end of a response that has no length.
--- a/include/ragwortrelay/loop/stream.h
+++ b/include/ragwortrelay/loop/stream.h
@@ -51,6 +51,10 @@
     /// Preconditions: the socket is connected and isSecure() is true. Call once.
     void handshake(StreamSide side, std::function<void(const ErrorCode &)> handler);
 
+    /// Waits until bytes or the end of the stream can be read, and leaves them with the operating system.
+    /// Preconditions: the stream is connected, isSecure() is false and no read is in progress.
+    void waitForInput(std::function<void(const ErrorCode &)> handler);
+
     /// Reads the available bytes, waiting for at least one. Preconditions: the stream is connected and no other read is in progress.
     void readSome(asio::mutable_buffer buffer, Handler handler);
 
--- a/src/loop/clientconnection.cpp
+++ b/src/loop/clientconnection.cpp
@@ -118,24 +118,45 @@
         return;
     }
     m_isReading = true;
+    if (!m_isBusy && !m_stream.isSecure()) {
+        // Bytes that come between two requests stay with the operating system, where isOpenWithoutInput() finds them before the next request is sent.
+        m_stream.waitForInput([self = shared_from_this()](const ErrorCode & /*error*/) { self->guarded([&] { self->onInput(); }); });
+        return;
+    }
     m_stream.readSome(asio::buffer(m_readBuffer),
                       [self = shared_from_this()](const ErrorCode &error, std::size_t size) { self->guarded([&] { self->onRead(error, size); }); });
 }
 
-void ClientConnection::onRead(const ErrorCode &error, std::size_t size)
+void ClientConnection::onInput()
 {
     m_isReading = false;
     if (m_isClosed) {
         return;
     }
-    if (!m_isBusy) { // The server closed the idle connection or sent unsolicited bytes.
-        const auto onIdleClosed = std::move(m_onIdleClosed);
-        close();
-        if (onIdleClosed) {
-            onIdleClosed();
-        }
+    if (!m_isBusy) {
+        return closeIdle();
+    }
+    read(); // An error of the connection shows there.
+}
+
+void ClientConnection::closeIdle()
+{
+    const auto onIdleClosed = std::move(m_onIdleClosed);
+    close();
+    if (onIdleClosed) {
+        onIdleClosed();
+    }
+}
+
+void ClientConnection::onRead(const ErrorCode &error, std::size_t size)
+{
+    m_isReading = false;
+    if (m_isClosed) {
         return;
     }
+    if (!m_isBusy) {
+        return closeIdle();
+    }
     if (error == asio::error::eof) {
         return onEof();
     }
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -51,6 +51,11 @@
     }
 }
 
+void Stream::waitForInput(std::function<void(const ErrorCode &)> handler)
+{
+    m_socket.async_wait(tcp::socket::wait_read, std::move(handler));
+}
+
 void Stream::readSome(asio::mutable_buffer buffer, Handler handler)
 {
     if (m_tlsStream) {
--- a/tests/loop/strayresponses.cpp
+++ b/tests/loop/strayresponses.cpp
@@ -183,3 +183,33 @@
     REQUIRE(connection.m_caller.receiveUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
     CHECK(connection.m_server->receiveAll().empty()); // The relay closes the connection.
 }
+
+// Bytes behind a response were read from the kernel while the connection was already idle, so that its next user could not see them there.
+TEST_CASE("regression: bytes behind a response that were read while another request took the connection became its response")
+{
+    const RawListener listener;
+    Relay relay(Relay::callerSettings(), listener.address());
+    const RawSocket first(relay.address());
+    const RawSocket second(relay.address());
+    first.send(request("GET", "first"));
+    const RawSocket server(listener.accept());
+    server.receiveUntil("\r\n\r\n");
+    std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 4000\r\nX-Padding: ";
+    constexpr std::string_view HeadEnd = "\r\n\r\n";
+    constexpr std::size_t BodySize = 4000;
+    response += std::string(ReadBufferSize - BodySize - HeadEnd.size() - response.size(), 'p') + std::string(HeadEnd) + std::string(BodySize, 'b');
+    REQUIRE(response.size() == ReadBufferSize);
+    // While the event loop is held up, both arrive, the response first.
+    relay.post([](Loop::CallerListener & /*listener*/) { std::this_thread::sleep_for(std::chrono::milliseconds(200)); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    server.send(response + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    second.send(request("GET", "second"));
+    CHECK(first.receiveUntil("bbb").starts_with("HTTP/1.1 200 "));
+    const int accepted = listener.accept(2000);
+    REQUIRE(accepted >= 0); // The second request goes out on a new connection.
+    const RawSocket other(accepted);
+    other.receiveUntil("\r\n\r\n");
+    other.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+    CHECK(second.receiveUntil("own").ends_with("\r\n\r\nown"));
+}
