--- a/src/host/handle.cpp
+++ b/src/host/handle.cpp
@@ -137,6 +137,45 @@
     }
 }
 
+/// Applies an event to the state. What is due at this time is done by handle().
+void applyEvent(State &state, const Event &event, TimePoint now, Actions &actions)
+{
+    std::visit(
+        [&](const auto &typed) {
+            using Type = std::decay_t<decltype(typed)>;
+            if constexpr (std::is_same_v<Type, RequestArrived>) {
+                detail::onRequestArrived(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, RequestReadFailed>) {
+                detail::onRequestReadFailed(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, CallerDisconnected>) {
+                detail::onCallerDisconnected(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, AttemptResponded>) {
+                detail::onAttemptResponded(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, AttemptFailed>) {
+                detail::onAttemptFailed(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, AttemptEnded>) {
+                detail::onAttemptEnded(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, ResponseSkipped>) {
+                detail::onResponseSkipped(state, typed, actions);
+            } else if constexpr (std::is_same_v<Type, ServerClosing>) {
+                detail::onServerClosing(state, typed, now);
+            } else if constexpr (std::is_same_v<Type, StoreResponded>) {
+                detail::onStoreResponded(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, PeerDatagramReceived>) {
+                detail::onPeerDatagram(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, OperatorCommandReceived>) {
+                detail::onOperatorCommand(state, typed, now, actions);
+            } else if constexpr (std::is_same_v<Type, TimerExpired>) {
+                state.m_levels.m_wallClock = typed.m_wallSeconds;
+            } else if constexpr (std::is_same_v<Type, SettingsChanged>) {
+                detail::onSettingsChanged(state, typed, actions);
+            } else if constexpr (std::is_same_v<Type, StopRequested>) {
+                detail::onStopRequested(state, now, actions);
+            }
+        },
+        event);
+}
+
 }
 
 }
@@ -173,40 +212,7 @@
 {
     Actions actions;
     state.m_startedAt = state.m_startedAt.value_or(now);
-    std::visit(
-        [&](const auto &typed) {
-            using Type = std::decay_t<decltype(typed)>;
-            if constexpr (std::is_same_v<Type, RequestArrived>) {
-                detail::onRequestArrived(state, typed, now, actions);
-            } else if constexpr (std::is_same_v<Type, RequestReadFailed>) {
-                detail::onRequestReadFailed(state, typed, now, actions);
-            } else if constexpr (std::is_same_v<Type, CallerDisconnected>) {
-                detail::onCallerDisconnected(state, typed, now, actions);
-            } else if constexpr (std::is_same_v<Type, AttemptResponded>) {
-                detail::onAttemptResponded(state, typed, now, actions);
-            } else if constexpr (std::is_same_v<Type, AttemptFailed>) {
-                detail::onAttemptFailed(state, typed, now, actions);
-            } else if constexpr (std::is_same_v<Type, AttemptEnded>) {
-                detail::onAttemptEnded(state, typed, now, actions);
-            } else if constexpr (std::is_same_v<Type, ResponseSkipped>) {
-                detail::onResponseSkipped(state, typed, actions);
-            } else if constexpr (std::is_same_v<Type, ServerClosing>) {
-                detail::onServerClosing(state, typed, now);
-            } else if constexpr (std::is_same_v<Type, StoreResponded>) {
-                detail::onStoreResponded(state, typed, now, actions);
-            } else if constexpr (std::is_same_v<Type, PeerDatagramReceived>) {
-                detail::onPeerDatagram(state, typed, now, actions);
-            } else if constexpr (std::is_same_v<Type, OperatorCommandReceived>) {
-                detail::onOperatorCommand(state, typed, now, actions);
-            } else if constexpr (std::is_same_v<Type, TimerExpired>) {
-                state.m_levels.m_wallClock = typed.m_wallSeconds;
-            } else if constexpr (std::is_same_v<Type, SettingsChanged>) {
-                detail::onSettingsChanged(state, typed, actions);
-            } else if constexpr (std::is_same_v<Type, StopRequested>) {
-                detail::onStopRequested(state, now, actions);
-            }
-        },
-        event);
+    detail::applyEvent(state, event, now, actions);
     detail::processDueTimers(state, now, actions);
     detail::tickFleet(state, now, actions);
     detail::serveQueues(state, now, actions);
