Search a body for the key piece by piece

One upload of maxBodyBytes with one percent sign took a host of 160 MiB over its memory; the platform killed it, and 8 of 8 requests that were running got no answer. No valid key was needed.

Cause: to find a key that is repeated with percent escapes, the whole body was decoded into a second string that grew a character at a time, beside what the budget for callers counts.

Change: the body is decoded and searched in pieces of 64 KiB, each behind the end of the one before it, so that a key over two pieces is found.

--- a/src/http/secret.cpp
+++ b/src/http/secret.cpp
@@ -15,6 +15,32 @@
     return candidate.size() >= MinSecretLength ? candidate : std::string_view();
 }
 
+namespace {
+
+/// Returns whether a text contains the secret once its percent escapes are decoded. The text may be a body of the largest size that is permitted, so that
+/// it is decoded piece by piece.
+bool containsDecoded(std::string_view text, std::string_view secret)
+{
+    constexpr std::size_t PieceBytes = 64U << 10U;
+    const std::size_t overlap = secret.size() - 1; // A secret may begin in one piece and end in the next.
+    std::string piece;
+    piece.reserve(overlap + PieceBytes);
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const auto byte = unescape(text, i);
+        piece += byte.value_or(text[i]);
+        i += byte ? 2 : 0;
+        if (piece.size() == overlap + PieceBytes) {
+            if (piece.find(secret) != std::string::npos) {
+                return true;
+            }
+            piece.erase(0, PieceBytes);
+        }
+    }
+    return piece.find(secret) != std::string::npos;
+}
+
+}
+
 bool containsSecret(std::string_view text, std::string_view secret)
 {
     if (secret.empty() || text.empty()) {
@@ -26,13 +52,7 @@
     if (text.find('%') == std::string_view::npos) {
         return false;
     }
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const auto byte = unescape(text, i);
-        decoded += byte.value_or(text[i]);
-        i += byte ? 2 : 0;
-    }
-    return decoded.find(secret) != std::string::npos;
+    return containsDecoded(text, secret);
 }
 
 }
