--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -6,7 +6,9 @@
 import asyncio
 import base64
 import json
+import logging
 import os
+import random
 import re
 import shutil
 import socket
@@ -46,9 +48,15 @@
 
 
 def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free port outside the range from which the system takes ports of outgoing connections, which could take it before its user does."""
+    while True:
+        port = random.randrange(12000, 30000)
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 async def read_message(reader):
@@ -469,6 +477,7 @@
 
 def run_case(case_folder, scenario):
     """Runs a scenario. It returns a list of violations, or raises an exception if it couldn't be run. Ends the process with the exit code of the case."""
+    logging.getLogger("asyncio").disabled = True  # It reports connections that are open at the end.
     bed = Bed(case_folder)
     code = 2
     try:
